--- /dev/null
+++ b/tests/program_test.cpp
@@ -0,0 +1,463 @@
+// The program as a whole, over loopback sockets: what it accepts, what outlasts it, and how it ends.
+#include <csignal>
+#include <fstream>
+#include <set>
+
+#include "peers.h"
+
+namespace firspool::testing {
+namespace {
+
+const char* const kFacts = "c=keyed,d=60000,k=5c0f6e1a2b3d4c59,dest=7";
+
+std::string facts(const std::string& effect, int destination = 7, int life_ms = 60'000) {
+  return "c=" + effect + ",d=" + std::to_string(life_ms) +
+         ",k=5c0f6e1a2b3d4c59,dest=" + std::to_string(destination);
+}
+
+struct Stage {
+  Host host;
+  Discovery discovery;
+  // Destinations 8 and 99 have had a host, which wants nothing new.
+  nlohmann::json config =
+      config_json(discovery.address(),
+                  {member_json("s-1", host.address(), 7), member_json("s-0", host.address(), 99, "leaving"),
+                   member_json("s-9", host.address(), 8, "leaving")});
+  Program program{config};
+
+  std::string put(const std::string& id, const std::string& what, const std::string& body = "body") {
+    Socket client = program.client();
+    client.send(put_bytes(id, what, body));
+    return client.line();
+  }
+  void restart_killed() {
+    program.kill();
+    host.drop();
+    program.start();
+  }
+};
+
+std::string id_of(const Request& call) { return call.headers.at("x-call-id"); }
+
+TEST(Program, DeliversUnchangedAndOwesNothingAfterwards) {
+  Stage s;
+  s.program.start();
+  std::string body = "any bytes: ";
+  body += std::string("\0\r\n\xff", 4);
+  EXPECT_EQ(s.put("9b1f03aa5c7e2d41", kFacts, body), "+OK");
+  const Request call = s.host.next();
+  EXPECT_EQ(call.first, "POST /events HTTP/1.1");
+  EXPECT_EQ(id_of(call), "9b1f03aa5c7e2d41");
+  EXPECT_EQ(call.headers.at("idempotency-key"), "5c0f6e1a2b3d4c59");
+  EXPECT_EQ(call.headers.at("x-budget").back(), 'm');
+  EXPECT_EQ(call.body, body);
+  s.host.answer("200");
+  // The second answer comes after the first message's end was recorded: its call uses the same connection.
+  EXPECT_EQ(s.put("00000000000000b2", kFacts), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000b2");
+  EXPECT_EQ(s.host.connections(), 1);
+  s.restart_killed();
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000b2");
+}
+
+TEST(Program, AnswersPipelinedRequestsInOrderAndPiecesToo) {
+  Stage s;
+  s.program.start();
+  Socket client = s.program.client();
+  const std::string bytes = "*1\r\n$4\r\nPING\r\n" + put_bytes("a1", facts("keyed", 99)) +
+                            "*1\r\n$3\r\nFOO\r\n" + put_bytes("a2", "c=nosuch,d=1,dest=7") +
+                            "*1\r\n$4\r\nping\r\n";
+  for (const char byte : bytes) ASSERT_TRUE(client.send(std::string(1, byte)));
+  EXPECT_EQ(client.line(), "+PONG");
+  EXPECT_EQ(client.line(), "+OK");
+  EXPECT_TRUE(client.line().starts_with("-ERR"));
+  EXPECT_TRUE(client.line().starts_with("-ERR"));
+  EXPECT_EQ(client.line(), "+PONG");
+}
+
+TEST(Program, AnswersMalformedBytesAndCloses) {
+  Stage s;
+  s.program.start();
+  for (const std::string bytes :
+       {"GET / HTTP/1.1\r\n", "*1\r\n$99999999\r\n", "*-1\r\n", "*1\r\n$1\r\nab\r\n"}) {
+    Socket client = s.program.client();
+    client.send(bytes);
+    EXPECT_TRUE(client.line().starts_with("-ERR")) << bytes;
+    EXPECT_EQ(client.exactly(1), "") << bytes;
+  }
+  Socket client = s.program.client();
+  client.send("*1\r\n$4\r\nPING\r\n");
+  EXPECT_EQ(client.line(), "+PONG");
+}
+
+TEST(Program, TurnsAwayWhatIsOverItsRoom) {
+  Stage s;
+  s.config["settings"]["bounds"]["open_cap"] = 4;
+  Program small(s.config);
+  small.start();
+  Socket client = small.client();
+  for (int i = 0; i < 4; ++i) {  // all out at once: none can be given back
+    client.send(put_bytes("m" + std::to_string(i), kFacts));
+    EXPECT_EQ(client.line(), "+OK");
+  }
+  client.send(put_bytes("m4", kFacts));
+  EXPECT_TRUE(client.line().starts_with("-BUSY "));
+}
+
+// A call that was out when the process died may have run.
+TEST(Program, ResendsSafeAndKeyedMessagesThatWereOutAtAKill) {
+  for (const std::string effect : {"safe", "keyed"}) {
+    Stage s;
+    s.program.start();
+    EXPECT_EQ(s.put("00000000000000a1", facts(effect)), "+OK");
+    s.host.next();
+    s.restart_killed();
+    const Request again = s.host.next();
+    EXPECT_EQ(id_of(again), "00000000000000a1") << effect;
+    EXPECT_EQ(again.headers.at("idempotency-key"), "5c0f6e1a2b3d4c59");
+    EXPECT_EQ(again.body, "body");
+    s.host.answer("200");
+  }
+}
+
+TEST(Program, FailsUnsafeMessagesThatWereOutAtAKill) {
+  Stage s;
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", facts("unsafe")), "+OK");
+  s.host.next();
+  s.restart_killed();
+  EXPECT_EQ(s.discovery.notice(), nlohmann::json({{"id", "00000000000000a1"}, {"state", "failed"}}));
+  EXPECT_EQ(s.put("00000000000000a2", facts("unsafe")), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
+}
+
+// Refused at once it never ran, and the record of that outlasts the process.
+TEST(Program, ResendsAnUnsafeMessageThatWasTurnedAwayBeforeAKill) {
+  Stage s;
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", facts("unsafe")), "+OK");
+  s.host.next();
+  s.host.answer("429", "Retry-After: 30.0\r\n");
+  // That the answer was read shows in what follows it: a message elsewhere goes out on a later turn.
+  Host other;
+  s.discovery.tell(list_json(2, false, {member_json("s-2", other.address(), 8)}));
+  EXPECT_EQ(s.put("00000000000000a2", facts("safe", 8)), "+OK");
+  other.next();
+  other.answer("200");
+  s.restart_killed();
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a1");
+}
+
+TEST(Program, CutsATornTailAndKeepsWhatStandsBeforeIt) {
+  Stage s;
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", facts("keyed", 99)), "+OK");
+  s.program.kill();
+  std::ofstream(s.program.state() / "journal", std::ios::app | std::ios::binary)
+      << std::string("\x40\0\0\0torn", 8);
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a2", facts("keyed", 99)), "+OK");
+  s.program.kill();
+  s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 99)}));
+  s.program.start();
+  std::set<std::string> ids;
+  for (int i = 0; i < 2; ++i) {
+    ids.insert(id_of(s.host.next()));
+    s.host.answer("200");
+    s.host.drop();
+  }
+  EXPECT_EQ(ids, (std::set<std::string>{"00000000000000a1", "00000000000000a2"}));
+}
+
+TEST(Program, TurnsAwayWhatItsFolderHasNoRoomFor) {
+  Stage s;
+  s.config["limits"]["disk_mb"] = 0.02;
+  Program small(s.config);
+  small.start();
+  Socket client = small.client();
+  client.send(put_bytes("00000000000000a1", kFacts, std::string(8000, 'x')));
+  EXPECT_TRUE(client.line().starts_with("-BUSY "));
+  client.send(put_bytes("00000000000000a2", kFacts, std::string(1000, 'x')));
+  EXPECT_EQ(client.line(), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
+}
+
+TEST(Program, SendsANoticeAgainUntilItIsTaken) {
+  Stage s;
+  s.discovery.refuse(2);
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", facts("unsafe")), "+OK");
+  s.host.next();
+  s.host.reset();
+  EXPECT_EQ(s.discovery.notice(), nlohmann::json({{"id", "00000000000000a1"}, {"state", "failed"}}));
+  EXPECT_EQ(s.discovery.refused(), 2);
+}
+
+TEST(Program, OwesANoticeAfterARestart) {
+  Stage s;
+  s.discovery.refuse(1'000'000);
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", facts("unsafe")), "+OK");
+  s.host.next();
+  s.host.reset();
+  while (s.discovery.refused() == 0) std::this_thread::yield();
+  s.program.kill();
+  s.discovery.refuse(0);
+  s.program.start();
+  EXPECT_EQ(s.discovery.notice(), nlohmann::json({{"id", "00000000000000a1"}, {"state", "failed"}}));
+}
+
+TEST(Program, EndsAMessageWhoseTimePassedWhileItWasDown) {
+  Stage s;
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", facts("keyed", 99, 300)), "+OK");
+  s.program.kill();
+  s.program.start();
+  const nlohmann::json notice = s.discovery.notice();
+  EXPECT_EQ(notice.at("id"), "00000000000000a1");
+  EXPECT_EQ(notice.at("state"), "returned");
+  EXPECT_GT(notice.at("after_ms"), 0);  // the client is told when to come again
+}
+
+TEST(Program, FollowsTheWatch) {
+  Stage s;
+  Host replacement;
+  s.program.start();
+  s.discovery.tell(list_json(
+      2, false,
+      {member_json("s-1", s.host.address(), 7, "leaving"), member_json("s-2", replacement.address(), 8)}));
+  EXPECT_EQ(s.put("00000000000000a1", facts("keyed", 8)), "+OK");
+  EXPECT_EQ(id_of(replacement.next()), "00000000000000a1");
+  replacement.answer("200");
+  s.discovery.tell(list_json(3, false, {member_json("s-3", replacement.address(), 7)}));
+  EXPECT_EQ(s.put("00000000000000a2", facts("keyed", 7)), "+OK");
+  EXPECT_EQ(id_of(replacement.next()), "00000000000000a2");  // and not to the one that leaves
+}
+
+// The configuration's list may be older than what the process before was told, and discovery down.
+TEST(Program, RemembersTheListAcrossARestart) {
+  Stage s;
+  Host other;
+  s.program.start();
+  s.discovery.tell(
+      list_json(2, false,
+                {member_json("s-1", s.host.address(), 7, "leaving"), member_json("s-2", other.address(), 7),
+                 member_json("s-3", other.address(), 8)}));
+  EXPECT_EQ(s.put("00000000000000a1", facts("keyed", 8)), "+OK");  // that it was heard
+  EXPECT_EQ(id_of(other.next()), "00000000000000a1");
+  s.program.kill();
+  s.discovery.mute();
+  s.program.start();
+  EXPECT_EQ(id_of(other.next()), "00000000000000a1");
+  other.answer("200");
+  for (const std::string id : {"00000000000000a2", "00000000000000a3", "00000000000000a4"}) {
+    EXPECT_EQ(s.put(id, facts("keyed", 7)), "+OK");
+    EXPECT_EQ(id_of(other.next()), id);
+    other.answer("200");
+  }
+}
+
+TEST(Program, SigtermLetsACallFinishAndKeepsTheRest) {
+  Stage s;
+  s.program.start();
+  Socket client = s.program.client();
+  client.send(put_bytes("00000000000000a1", facts("unsafe")));
+  EXPECT_EQ(client.line(), "+OK");
+  client.send(put_bytes("00000000000000a2", facts("keyed", 99)));
+  EXPECT_EQ(client.line(), "+OK");
+  s.host.next();
+  s.program.signal(SIGTERM);
+  client.send("*1\r\n$4\r\nPING\r\n");
+  EXPECT_EQ(client.line(), "+PONG");
+  EXPECT_EQ(client.exactly(1), "");  // closed between requests
+  s.host.answer("200");
+  EXPECT_EQ(s.program.wait(), 0);
+  s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 99)}));
+  s.host.drop();
+  s.program.start();
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
+}
+
+// ---- A new configuration ----
+
+TEST(Program, FollowsDiscoveryToItsNewAddress) {
+  Stage s;
+  Discovery next;
+  Host other;
+  s.program.start();
+  s.config["discovery"] = next.address();
+  s.program.configure(s.config.dump());
+  s.program.signal(SIGHUP);
+  // Whatever revision the new agent has.
+  next.tell(list_json(0, false, {member_json("s-2", other.address(), 99)}));
+  EXPECT_EQ(s.put("00000000000000a1", facts("keyed", 99)), "+OK");
+  EXPECT_EQ(id_of(other.next()), "00000000000000a1");
+  EXPECT_EQ(s.put("00000000000000a2", facts("unsafe")), "+OK");
+  s.host.next();
+  s.host.reset();
+  EXPECT_EQ(next.notice(), nlohmann::json({{"id", "00000000000000a2"}, {"state", "failed"}}));
+}
+
+// A notice that the old address did not answer goes to the new one.
+TEST(Program, SendsUnansweredNoticesToTheNewAddress) {
+  Stage s;
+  Discovery next;
+  s.discovery.refuse(1'000'000);
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", facts("unsafe")), "+OK");
+  s.host.next();
+  s.host.reset();
+  while (s.discovery.refused() == 0) std::this_thread::yield();
+  s.config["discovery"] = next.address();
+  s.program.configure(s.config.dump());
+  for (int i = 0; i < 3; ++i) s.program.signal(SIGHUP);
+  EXPECT_EQ(next.notice(), nlohmann::json({{"id", "00000000000000a1"}, {"state", "failed"}}));
+}
+
+TEST(Program, KeepsTheOldConfigurationWhereTheNewOneIsNotValid) {
+  Stage s;
+  s.program.start();
+  s.config["discovery"] = "nowhere";
+  const std::string unreadable = s.config.dump();
+  for (const std::string& text : {std::string("{"), std::string(), unreadable}) {
+    s.program.configure(text);
+    s.program.signal(SIGHUP);
+    EXPECT_EQ(s.put("00000000000000a1", facts("safe")), "+OK");
+    EXPECT_EQ(id_of(s.host.next()), "00000000000000a1");
+    s.host.answer("200");
+    s.host.drop();
+  }
+  s.program.signal(SIGTERM);
+  s.program.signal(SIGHUP);
+  EXPECT_EQ(s.program.wait(), 0);
+}
+
+// ---- Bad clients ----
+
+const std::string kPing = "*1\r\n$4\r\nPING\r\n";
+
+TEST(Program, ClosesAClientThatSaysNothing) {
+  Stage s;
+  s.program.start();
+  Socket client = s.program.client();
+  EXPECT_TRUE(client.ended());
+}
+
+// Bytes that dribble in do not put the limit off.
+TEST(Program, EndsACommandThatIsNeverFinished) {
+  Stage s;
+  s.program.start();
+  Socket half = s.program.client();
+  half.send("*5\r\n$7\r\nMSG.P");
+  Socket dribbling = s.program.client();
+  dribbling.send(kPing);
+  EXPECT_EQ(dribbling.line(), "+PONG");
+  dribbling.send("*1\r\n$60000\r\n");
+  std::atomic<bool> over = false;
+  std::thread dribble([&] {
+    while (!over && dribbling.send("x")) std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  });
+  EXPECT_TRUE(half.line().starts_with("-ERR"));
+  EXPECT_TRUE(half.ended());
+  EXPECT_TRUE(dribbling.line().starts_with("-ERR"));
+  over = true;
+  dribble.join();
+}
+
+// A close with bytes unread is a reset, and the error would be lost with it.
+TEST(Program, AnErrorReachesAClientThatGoesOnSending) {
+  Stage s;
+  s.program.start();
+  Socket client = s.program.client();
+  ASSERT_TRUE(client.send("*5\r\n$7\r\nMSG.PUT\r\n$60000000\r\n"));
+  const std::string part(1'000'000, 'x');
+  for (int i = 0; i < 60; ++i) ASSERT_TRUE(client.send(part)) << i;
+  EXPECT_TRUE(client.line().starts_with("-ERR"));
+  EXPECT_TRUE(client.ended());
+}
+
+// Clients keep their connections: those that ask no more must not shut out others.
+TEST(Program, MakesRoomForAnotherClient) {
+  Stage s;
+  s.config["limits"]["sockets"] = 64;
+  Program small(s.config);
+  small.start();
+  std::vector<Socket> kept;
+  for (int i = 0; i < 60; ++i) {
+    kept.push_back(small.client());
+    kept.back().send(kPing);
+    ASSERT_EQ(kept.back().line(), "+PONG") << i;
+  }
+}
+
+TEST(Program, TurnsAwayWhatNoHostCouldTake) {
+  Stage s;
+  s.program.start();
+  Socket client = s.program.client();
+  for (const std::string what : {"c=safe,d=1000,dest=5", "c=keyed,d=1000,dest=7", "c=safe,d=61000,dest=7",
+                                 "c=nosuch,d=1000,dest=7", "c=safe,d=1\r\n+OK,dest=7", "c=safe,d=,dest=7"}) {
+    client.send(put_bytes("00000000000000a1", what) + kPing);
+    EXPECT_TRUE(client.line().starts_with("-ERR")) << what;
+    EXPECT_EQ(client.line(), "+PONG") << what;  // nothing that the client sent made a line of its own
+  }
+}
+
+// Handed in twice before it is decided on: both get the one answer.
+TEST(Program, AnswersARepeatedIdAsTheFirst) {
+  Stage s;
+  s.config["limits"]["disk_mb"] = 0.02;
+  Program small(s.config);
+  small.start();
+  Socket clients[2] = {small.client(), small.client()};
+  small.signal(SIGSTOP);
+  for (Socket& client : clients) client.send(put_bytes("00000000000000a1", kFacts, std::string(8000, 'x')));
+  small.signal(SIGCONT);
+  for (Socket& client : clients) EXPECT_TRUE(client.line().starts_with("-BUSY"));
+}
+
+// A message's time runs from its last byte, also while it waits to be read: a notice for it would come late.
+TEST(Program, CountsTheTimeThatARequestWaited) {
+  Stage s;
+  s.program.start();
+  Socket client = s.program.client();
+  client.send(kPing);
+  EXPECT_EQ(client.line(), "+PONG");
+  s.program.signal(SIGSTOP);
+  client.send(put_bytes("00000000000000a1", facts("keyed", 99, 200)));
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  s.program.signal(SIGCONT);
+  EXPECT_TRUE(client.line().starts_with("-BUSY"));
+}
+
+// In a crowd requests wait to be accepted, some for longer than their clients do: to take those on would cost
+// the calls that others wait for.
+TEST(Program, DropsARequestThatItsClientGaveUp) {
+  Stage s;
+  s.program.start();
+  s.program.signal(SIGSTOP);
+  {
+    Socket client = s.program.client();
+    client.send(put_bytes("00000000000000a1", facts("unsafe")));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  s.program.signal(SIGCONT);
+  EXPECT_EQ(s.put("00000000000000a2", facts("unsafe")), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
+}
+
+// Out of descriptors an accept fails again at once: the relay waits a little and serves on.
+TEST(Program, SurvivesRunningOutOfDescriptors) {
+  Stage s;
+  s.program.start(40);
+  std::vector<Socket> crowd;
+  for (int i = 0; i < 60; ++i) crowd.push_back(s.program.client());
+  crowd.front().send("*1\r\n$4\r\nPING\r\n");
+  EXPECT_EQ(crowd.front().line(), "+PONG");
+  crowd.clear();
+  Socket client = s.program.client();
+  client.send("*1\r\n$4\r\nPING\r\n");
+  EXPECT_EQ(client.line(), "+PONG");
+}
+
+}  // namespace
+}  // namespace firspool::testing
--- /dev/null
+++ b/tests/relay.h
@@ -0,0 +1,125 @@
+// A policy under test with the rules checker beside it.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "firspool/policy.h"
+#include "rules_checker.h"
+
+namespace firspool::testing {
+
+constexpr Time kSecond = 1'000'000;
+
+class Relay {
+ public:
+  explicit Relay(const Settings& settings, uint64_t seed = 1)
+      : settings_(settings), policy_(settings, seed), checker_(settings) {}
+  ~Relay() {
+    for (const std::string& fault : checker_.faults()) ADD_FAILURE() << fault;
+  }
+
+  std::vector<Action> step(Time now, const std::vector<Event>& events) {
+    checker_.before(now, events);
+    std::vector<Action> actions;
+    policy_.step(now, events, actions);
+    checker_.after(now, actions);
+    return actions;
+  }
+
+  // Runs empty steps up to a time, as timers would; returns all that was done.
+  std::vector<Action> idle(Time from, Time to, Time every = 50'000) {
+    std::vector<Action> all;
+    for (Time t = from; t <= to; t += every) {
+      for (Action& action : step(t, {})) all.push_back(std::move(action));
+    }
+    return all;
+  }
+
+  Arrival message(uint64_t id, Time now, int message_class = 0, int destination = 1) const {
+    Arrival out;
+    out.id = id;
+    out.message_class = message_class;
+    out.destination = destination;
+    out.due = now + settings_.classes[message_class].give_up;
+    return out;
+  }
+
+  size_t owed() const { return checker_.owed(); }
+
+ private:
+  Settings settings_;
+  Policy policy_;
+  RulesChecker checker_;
+};
+
+// Two classes (0 safe, 1 unsafe) and two kinds (0 shared limit, 1 routes apart).
+inline Settings plain_settings() {
+  Settings s;
+  s.classes.resize(2);
+  s.classes[0].effect = Effect::kSafe;
+  s.classes[1].effect = Effect::kUnsafe;
+  for (ClassSettings& c : s.classes) {
+    c.target = 2 * kSecond;
+    c.give_up = 20 * kSecond;
+    c.late_worth = 0.3;
+  }
+  s.kinds.resize(2);
+  s.kinds[1].apart = true;
+  s.slots = 8;
+  s.max_open = 200;
+  s.max_attempts = 6;
+  s.tick = 5000;
+  s.answer_slack = 20'000;
+  s.drain_grace = kSecond;
+  s.cold = 10 * kSecond;
+  s.fall_window = 3 * kSecond;
+  s.fall_multiple = 2;
+  s.start_capacity = 0.25;
+  s.conn_idle = 10 * kSecond;
+  return s;
+}
+
+inline Member member(uint32_t address, int destination = 1, int kind = 0, Listing listing = Listing::kReady) {
+  Member m;
+  m.endpoint = {address, 80};
+  m.destination = destination;
+  m.kind = kind;
+  m.listing = listing;
+  return m;
+}
+
+inline MembersChanged members(std::vector<Member> list,
+                              MembersChanged::Form form = MembersChanged::Form::kFull) {
+  MembersChanged out;
+  out.form = form;
+  out.members = std::make_shared<std::vector<Member>>(std::move(list));
+  return out;
+}
+
+inline AttemptEnded ended(const Send& send, int attempt, Outcome outcome, Time took = 100'000,
+                          Time wait = 0) {
+  AttemptEnded out;
+  out.id = send.id;
+  out.attempt = attempt;
+  out.endpoint = send.endpoint;
+  out.outcome = outcome;
+  out.final = outcome == Outcome::kOk;
+  out.took = took;
+  out.wait = wait;
+  return out;
+}
+
+template <typename T>
+std::vector<T> all_of(const std::vector<Action>& actions) {
+  std::vector<T> out;
+  for (const Action& action : actions) {
+    if (const T* item = std::get_if<T>(&action)) out.push_back(*item);
+  }
+  return out;
+}
+
+}  // namespace firspool::testing
--- /dev/null
+++ b/tests/rules_checker.h
@@ -0,0 +1,61 @@
+// Watches what goes into and comes out of a Policy, and reports each broken promise. Knows nothing of the
+// module.
+#pragma once
+
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "firspool/policy.h"
+
+namespace firspool::testing {
+
+class RulesChecker {
+ public:
+  explicit RulesChecker(Settings settings) : set_(std::move(settings)) {}
+
+  // Call with the events before, and with the actions after each step.
+  void before(Time now, std::span<const Event> events);
+  void after(Time now, std::span<const Action> actions);
+
+  // Messages that are still owed an answer.
+  size_t owed() const;
+  const std::vector<std::string>& faults() const { return faults_; }
+
+ private:
+  struct Sent {
+    Endpoint endpoint;
+    Time at = 0;
+    uint64_t call = 0;
+    bool out = true;
+    bool ran = false;
+  };
+  struct Held {
+    Arrival in;
+    std::vector<Sent> sent;
+    bool ended = false;
+    uint64_t order = 0;
+  };
+
+  void fault(uint64_t id, const std::string& what);
+  void check_send(Time now, const Send& send);
+  uint64_t join_call(const Member& member);
+  void check_order(Time now, uint64_t id, const Held& held);
+  void check_refuse(uint64_t id);
+  std::pair<int, Endpoint> limit_group(const Member& member) const;
+
+  Settings set_;
+  std::map<uint64_t, Held> held_;
+  std::map<Endpoint, Member> members_;
+  std::map<Endpoint, Time> drained_at_;
+  std::map<std::pair<int, Endpoint>, Time> waits_;
+  std::map<uint64_t, std::pair<Time, uint64_t>> rests_;
+  uint64_t arrivals_ = 0;
+  std::map<uint64_t, int> calls_;       // calls out, with their messages
+  std::map<Endpoint, uint64_t> round_;  // this round's open call to each endpoint
+  uint64_t last_call_ = 0;
+  std::vector<std::string> faults_;
+};
+
+}  // namespace firspool::testing
--- /dev/null
+++ b/tests/upstream_test.cpp
@@ -0,0 +1,209 @@
+// Outcomes of calls, against a host that the test plays.
+#include "upstream.h"
+
+#include <functional>
+
+#include "peers.h"
+
+namespace firspool::relay {
+namespace {
+
+using testing::Host;
+
+class UpstreamTest : public ::testing::Test {
+ protected:
+  // Makes one call and runs the loop to its end; the host's part runs beside it.
+  AttemptEnded call(const std::function<void(Host&)>& part, Time timeout = 20'000'000) {
+    std::thread host([&] { part(host_); });
+    AttemptEnded out = call_to(host_.port(), timeout);
+    host.join();
+    return out;
+  }
+
+  AttemptEnded call_to(uint16_t port, Time timeout) {
+    Call next;
+    next.id = ++last_;
+    next.endpoint = {1, 0};
+    next.address = {boost::asio::ip::address_v4::loopback(), port};
+    next.call_id = "9b1f03aa5c7e2d41";
+    next.body = "body";
+    next.timeout = timeout;
+    ended_.reset();
+    upstream_.call(next);
+    io_.restart();
+    while (!ended_) io_.run_one();
+    return *ended_;
+  }
+
+  static std::function<void(Host&)> answering(const std::string& status, const std::string& headers = "") {
+    return [=](Host& host) {
+      host.next();
+      host.answer(status, headers);
+    };
+  }
+
+  boost::asio::io_context io_;
+  bool may_start_ = true;
+  bool began_ = false;
+  std::optional<AttemptEnded> ended_;
+  uint64_t last_ = 0;
+  Host host_;
+  Upstream upstream_{io_,
+                     {1'000'000, 10'000'000, 16, 60'000'000},
+                     {"x0", "x1"},
+                     [this](const Call&) { return may_start_; },
+                     [this](const AttemptEnded& end, bool began) {
+                       ended_ = end;
+                       began_ = began;
+                     },
+                     [](const ProbeEnded&) {}};
+};
+
+TEST_F(UpstreamTest, ReadsEachAnswer) {
+  const AttemptEnded ok = call(answering("200", "X-Load-Report: x0=0.5,x1=25\r\n"));
+  EXPECT_EQ(ok.outcome, Outcome::kOk);
+  EXPECT_TRUE(ok.final);
+  EXPECT_EQ(ok.report, (std::vector<float>{0.5, 25}));
+  EXPECT_EQ(call(answering("500")).outcome, Outcome::kError);
+  const AttemptEnded told = call(answering("429", "Retry-After: 1.25\r\n"));
+  EXPECT_EQ(told.outcome, Outcome::kFull);
+  EXPECT_EQ(told.wait, 1'250'000);
+  EXPECT_EQ(call(answering("503")).outcome, Outcome::kFull);
+  EXPECT_EQ(call(answering("503", "X-Egress-Full: 1\r\n")).outcome, Outcome::kMoot);
+  EXPECT_FALSE(call(answering("504")).final);
+  const AttemptEnded over = call(answering("410"));
+  EXPECT_EQ(over.outcome, Outcome::kMoot);
+  EXPECT_TRUE(over.final);
+  EXPECT_EQ(host_.connections(), 1);  // all on one connection
+}
+
+TEST_F(UpstreamTest, ABrokenConnectionAfterTheLastByteIsAReset) {
+  EXPECT_EQ(call([](Host& host) {
+              host.next();
+              host.reset();
+            }).outcome,
+            Outcome::kReset);
+}
+
+TEST_F(UpstreamTest, SilenceTimesOutAndEndsTheConnection) {
+  EXPECT_EQ(call([](Host& host) { host.next(); }, 200'000).outcome, Outcome::kTimeout);
+  EXPECT_EQ(call(answering("200")).outcome, Outcome::kOk);
+  EXPECT_EQ(host_.connections(), 2);
+}
+
+TEST_F(UpstreamTest, ARefusedConnectionNeverRan) {
+  testing::Socket gone = testing::Socket::listen();
+  const uint16_t port = gone.port();
+  gone.close();
+  EXPECT_EQ(call_to(port, 1'000'000).outcome, Outcome::kConnectFailed);
+  EXPECT_FALSE(began_);
+}
+
+// The host drained, or its destination told another call to wait, while this one's connection came up.
+TEST_F(UpstreamTest, LooksOnceMoreBeforeTheFirstByte) {
+  may_start_ = false;
+  EXPECT_EQ(call_to(host_.port(), 1'000'000).outcome, Outcome::kMoot);
+  EXPECT_FALSE(began_);
+  may_start_ = true;
+  EXPECT_EQ(call(answering("200")).outcome, Outcome::kOk);
+  EXPECT_EQ(host_.connections(), 1);  // the connection stayed, and no byte was written to it before
+}
+
+// A call on a connection that the host has closed would end as a reset, and may have run.
+TEST_F(UpstreamTest, DoesNotUseAConnectionThatTheHostClosed) {
+  EXPECT_EQ(call([](Host& host) {
+              host.next();
+              host.answer("200");
+              host.drop();
+            }).outcome,
+            Outcome::kOk);
+  EXPECT_EQ(call(answering("200")).outcome, Outcome::kOk);
+  EXPECT_EQ(host_.connections(), 2);
+}
+
+// An answer that can never be whole tells only that the call may have run, whatever status it shows: taken
+// for a refusal it would let an unsafe message go twice. The host leaves the connection open, so it is
+// settled long before the time-out, and the connection is not used again.
+TEST_F(UpstreamTest, ASpoiltAnswerMayHaveRun) {
+  int made = 0;
+  for (const std::string& bytes :
+       {std::string("\x01\x02noise with no end"), std::string("HTTP/1.1 2x0 what\r\n\r\n"),
+        std::string("HTTP/1.1 503 x\r\nContent-Le"),
+        std::string("HTTP/1.1 429 x\r\nRetry-After: 1\r\nContent-Length: 9\r\n\r\nhi"),
+        std::string("HTTP/1.1 504 x\r\nContent-Length: -4\r\n\r\n"), std::string("HTTP/1.1 410 gone"),
+        "HTTP/1.1 500 x\r\nX: " + std::string(30'000, 'x'),
+        "HTTP/1.1 503 x\r\nContent-Length: 3000000000\r\n\r\n" + std::string(1000, 'x')}) {
+    const AttemptEnded end = call([&](Host& host) {
+      host.next();
+      host.raw(bytes);
+      EXPECT_TRUE(host.left());
+    });
+    EXPECT_EQ(end.outcome, Outcome::kSpoilt) << bytes.substr(0, 60);
+    EXPECT_FALSE(end.final);
+    EXPECT_EQ(host_.connections(), ++made);
+  }
+}
+
+TEST_F(UpstreamTest, AFirstLineWith200IsTrueWhateverFollows) {
+  for (const std::string& bytes :
+       {std::string("HTTP/1.1 200 OK\r\n\x01\x02noise"), std::string("HTTP/1.1 200 OK\r\nContent-Le"),
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"),
+        "HTTP/1.1 200 OK\r\nX: " + std::string(30'000, 'x'),
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + std::string(1000, 'x')}) {
+    const AttemptEnded end = call([&](Host& host) {
+      host.next();
+      host.raw(bytes);
+      EXPECT_TRUE(host.left());
+    });
+    EXPECT_EQ(end.outcome, Outcome::kOk) << bytes.substr(0, 60);
+    EXPECT_TRUE(end.final);
+  }
+}
+
+TEST_F(UpstreamTest, SkipsAnswersAheadOfTheAnswer) {
+  const AttemptEnded end = call([](Host& host) {
+    host.next();
+    host.raw("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX-Y: z\r\n\r\n");
+    host.answer("503");
+  });
+  EXPECT_EQ(end.outcome, Outcome::kFull);
+  EXPECT_EQ(call(answering("200")).outcome, Outcome::kOk);
+  EXPECT_EQ(host_.connections(), 1);
+}
+
+// The second copy would be taken for the next call's answer.
+TEST_F(UpstreamTest, DoesNotUseAConnectionAgainThatBroughtMoreThanItsAnswer) {
+  const std::string copy = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+  for (const std::string& bytes : {copy + copy, copy + "noise"}) {
+    const int before = host_.connections();
+    EXPECT_EQ(call([&](Host& host) {
+                host.next();
+                host.raw(bytes);
+              }).outcome,
+              Outcome::kOk);
+    EXPECT_EQ(call(answering("500")).outcome, Outcome::kError);
+    EXPECT_EQ(host_.connections(), before + 2);
+    EXPECT_EQ(call(answering("200", "Connection: close\r\n")).outcome, Outcome::kOk);
+  }
+}
+
+// A field read as zero would pass for a limit or a load of zero.
+TEST_F(UpstreamTest, DropsAReportThatItCannotRead) {
+  for (const std::string report : {"x0=0.5,x1=?", "x0=nan,x1=25", "x0=-1,x1=25", "x0", "x0=0.5 x1=25"}) {
+    EXPECT_TRUE(call(answering("200", "X-Load-Report: " + report + "\r\n")).report.empty()) << report;
+  }
+  EXPECT_EQ(call(answering("200", "X-Load-Report: x0=0.5,x9=a,x1=2\r\n")).report,
+            (std::vector<float>{0.5, 2}));
+}
+
+TEST_F(UpstreamTest, HeedsNoWaitThatIsNoNumber) {
+  for (const std::string wait : {"nan", "-5", "soon", "1.5x", "inf"}) {
+    const AttemptEnded end = call(answering("429", "Retry-After: " + wait + "\r\n"));
+    EXPECT_EQ(end.outcome, Outcome::kFull);
+    EXPECT_EQ(end.wait, 0) << wait;
+  }
+  EXPECT_EQ(call(answering("429", "Retry-After: 1e30\r\n")).wait, 60'000'000);
+}
+
+}  // namespace
+}  // namespace firspool::relay
