Read the tenant of a message, so that each tenant has its own share

Cause: MSG.PUT's `t` was never read, and every message went to the module as the first tenant's. All traffic then ran against that one quota, so most messages were held to be worth a twentieth and order and shedding among them had no meaning.

Test: Program.CountsAMessageAgainstItsOwnTenantsShare, seen to fail without the change.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -31,7 +31,7 @@
 constexpr Time kPressedLeast = kSecond / 20;     // the same, where every other was of use just now
 constexpr Time kSilentLeast = 3 * kSecond / 10;  // with nothing ever sent
 constexpr Time kDrainLeast = kSecond;
-constexpr size_t kMostName = 128;                   // ids, keys and class names
+constexpr size_t kMostName = 128;                   // ids, keys, class and tenant names
 constexpr Time kMostLife = Time{24} * 3600 * 1000;  // milliseconds
 
 // Ids and keys become header lines and journal records: nothing that could break one passes.
@@ -72,11 +72,13 @@
     const std::string_view name = item.substr(0, equals);
     const std::string_view value = item.substr(equals + 1);
     if (name == "c") out.message_class = value;
+    if (name == "t") out.tenant = value;
     if (name == "k") out.key = value;
     if (name == "d") out.life = 1000 * number(value, kMostLife);
     if (name == "dest") out.destination = static_cast<int>(number(value, 1'000'000));
   }
   if (!is_name(out.message_class)) throw std::invalid_argument("unreadable class");
+  if (!out.tenant.empty() && !is_name(out.tenant)) throw std::invalid_argument("unreadable tenant");
   if (!out.key.empty() && !is_name(out.key)) throw std::invalid_argument("unreadable idempotency key");
   if (out.life < 0) throw std::invalid_argument("no d");
   if (out.destination < 0) throw std::invalid_argument("no dest");
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -52,6 +52,7 @@
     std::memcpy(&value, raw(sizeof value).data(), sizeof value);
     return value;
   }
+  bool more() const { return !bytes_.empty(); }
   std::string text() { return std::string(raw(static_cast<size_t>(number()))); }
 
  private:
@@ -142,6 +143,7 @@
     entry.message.destination = static_cast<int>(in.number());
     entry.due = in.number();
     entry.message.body = in.text();
+    if (in.more()) entry.message.tenant = in.text();  // not in older records
     places[id] = recovered_.size();
     recovered_.push_back(std::move(entry));
     places_[id] = ++order_;
@@ -192,7 +194,7 @@
 
 bool Journal::accepted(const Handed& m, Time due) {
   Writer out(kAccepted, m.id);
-  out.text(m.message_class).text(m.key).number(m.destination).number(due).text(m.body);
+  out.text(m.message_class).text(m.key).number(m.destination).number(due).text(m.body).text(m.tenant);
   const size_t bytes = kHeader + out.payload().size() + kReserve;
   if (static_cast<double>(live_bytes_ + bytes) > kAcceptPart * static_cast<double>(most_file_)) return false;
   places_[m.id] = ++order_;
--- a/relay/message.h
+++ b/relay/message.h
@@ -16,6 +16,7 @@
   int destination = 0;
   Time life = 0;  // how long it may still be delivered, when its last byte came
   std::string body;
+  std::string tenant;  // whose share of the traffic it counts against; empty if none
 };
 
 struct Notice {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -132,6 +132,13 @@
   return it == classes.end() ? -1 : static_cast<int>(it - classes.begin());
 }
 
+// A tenant that the settings do not name has no share that could be used up.
+int Relay::tenant_of(const std::string& name) const {
+  const auto& tenants = config_.settings.tenants;
+  const auto it = std::find_if(tenants.begin(), tenants.end(), [&](const auto& t) { return t.name == name; });
+  return it == tenants.end() ? -1 : static_cast<int>(it - tenants.begin());
+}
+
 // Only now messages are taken on or resumed: what discovery had to tell at once has been heard.
 void Relay::open() {
   if (clients_ || stopping_since_ != 0) return;
@@ -165,6 +172,7 @@
       finish(number, Notice{entry.message.id, false, 0});
       continue;
     }
+    in.tenant = tenant_of(entry.message.tenant);
     in.due = held.due;
     in.destination = entry.message.destination;
     in.attempts = entry.attempts;
@@ -195,6 +203,7 @@
   Arrival in;
   in.id = number;
   in.message_class = message_class;
+  in.tenant = tenant_of(handed.tenant);
   in.due = steady_now() + handed.life - std::min(kTransit, handed.life);
   in.destination = handed.destination;
   numbers_[handed.id] = number;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -52,6 +52,7 @@
   void remember_host(const ListedHost& host);
   void forget_gone(const Endpoint& endpoint);
   int class_of(const std::string& name) const;
+  int tenant_of(const std::string& name) const;
   void put(Handed handed, Clients::Answer answer);
   void told(const HostList& list);
   bool may_start(const Call& call);
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -50,6 +50,7 @@
     return parse_put({"MSG.PUT", "0", id, list, ""});
   };
   EXPECT_EQ(parse("a", "c=x,d=8000,dest=7,r=1,again=1").life, 8'000'000);
+  EXPECT_EQ(parse("a", "c=x,t=acme,d=8000,dest=7").tenant, "acme");
   EXPECT_THROW(parse("a\r\nX: y", "c=x,d=8000,dest=7"), std::invalid_argument);
   EXPECT_THROW(parse("a", "c=x,k=b\r\nc,d=8000,dest=7"), std::invalid_argument);
   EXPECT_THROW(parse("a", "c=x,d=-1,dest=7"), std::invalid_argument);
@@ -134,7 +135,7 @@
   ~JournalTest() override { std::filesystem::remove_all(folder_); }
 
   static Handed message(const std::string& id, size_t body = 10) {
-    return {id, "keyed", "key", 7, 0, std::string(body, '\0')};
+    return {id, "keyed", "key", 7, 0, std::string(body, '\0'), "acme"};
   }
   std::string bytes() const {
     std::ifstream in(folder_ / "journal", std::ios::binary);
@@ -159,6 +160,7 @@
   const auto& left = journal.recovered();
   ASSERT_EQ(left.size(), 3u);
   EXPECT_EQ(left[0].message.body, std::string(10, '\0'));
+  EXPECT_EQ(left[0].message.tenant, "acme");
   EXPECT_EQ(left[0].due, 1234);
   EXPECT_EQ(left[0].attempts, 2);
   EXPECT_EQ(left[0].unsettled.at(0), std::make_pair(Time{100}, 1));
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -60,6 +60,26 @@
   EXPECT_EQ(id_of(s.host.next()), "00000000000000b2");
 }
 
+// What a tenant sends beyond its share is worth little, and leaves the slots to the others.
+TEST(Program, CountsAMessageAgainstItsOwnTenantsShare) {
+  Stage s;
+  s.config["settings"]["family_info"]["calls_out"] = 1;
+  s.config["settings"]["over_share_worth"] = 0.05;
+  s.config["settings"]["realms"] = {{{"name", "small"}, {"quota_per_s", 0.001}},
+                                    {{"name", "large"}, {"quota_per_s", 1000.0}}};
+  Program program(s.config);
+  program.start();
+  Socket client = program.client();
+  for (const auto& [id, tenant] : {std::pair{"a1", "large"}, {"a2", "small"}, {"a3", "large"}}) {
+    client.send(put_bytes(id, std::string(kFacts) + ",t=" + tenant));
+    EXPECT_EQ(client.line(), "+OK");
+  }
+  for (const std::string id : {"a1", "a3", "a2"}) {
+    EXPECT_EQ(id_of(s.host.next()), id);
+    s.host.answer("200");
+  }
+}
+
 TEST(Program, AnswersPipelinedRequestsInOrderAndPiecesToo) {
   Stage s;
   s.program.start();
