Send the messages of one turn to one endpoint as a bundle

Cause: the module counts what it sends to one endpoint in one turn as one call, with one slot and one place under the endpoint's limit, as the settings allow for bulk receivers. The relay made a call for each message.

Tests: Program.SendsTheMessagesOfOneTurnAsABundle, seen to fail without the change, and UpstreamTest's on bundles.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -311,6 +311,7 @@
   policy_.step(steady_now(), events, actions);
   answer_pending(actions);
   for (const Action& action : actions) carry_out(action);
+  for (auto& [endpoint, bundle] : std::exchange(joined_, {})) upstream_.call(std::move(bundle));
   arm();
 }
 
@@ -376,8 +377,9 @@
     call.body = held->second.handed.body;
     call.timeout = send->timeout;
     call.start_by = send->start_by;
+    call.last = steady_now() + send->timeout >= held->second.due;
     ++out_[call.endpoint];
-    upstream_.call(std::move(call));
+    join(std::move(call), host->member.kind);
   } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
     const auto held = held_.find(refuse->id);
     if (held != held_.end()) finish(refuse->id, Notice{held->second.handed.id, true, refuse->retry_after});
@@ -402,6 +404,21 @@
   }
 }
 
+// What goes to one host in one turn travels as one call where its kind allows it: the module counts on that
+// one slot and one place under the host's limit.
+void Relay::join(Call call, int kind) {
+  const auto& kinds = config_.settings.kinds;
+  const size_t most = kind < static_cast<int>(kinds.size()) ? static_cast<size_t>(kinds[kind].batch) : 1;
+  if (most <= 1) return upstream_.call(std::move(call));
+  std::vector<Call>& bundle = joined_[call.endpoint];
+  size_t bytes = bundle_line(call).size();
+  for (const Call& other : bundle) bytes += bundle_line(other).size();
+  if (bundle.size() == most || (!bundle.empty() && bytes > kMostBundle)) {
+    upstream_.call(std::exchange(bundle, {}));
+  }
+  bundle.push_back(std::move(call));
+}
+
 // The message is over; with a notice, that is still owed.
 void Relay::finish(uint64_t number, std::optional<Notice> notice) {
   const auto held = held_.find(number);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -62,6 +62,7 @@
   void step();
   void answer_pending(const std::vector<Action>& actions);
   void carry_out(const Action& action);
+  void join(Call call, int kind);
   void finish(uint64_t number, std::optional<Notice> notice);
   void arm();
   void wait_for_end();
@@ -79,6 +80,7 @@
   std::unordered_map<uint64_t, Held> held_;
   std::unordered_map<std::string, uint64_t> numbers_;
   std::map<std::pair<int, Endpoint>, Time> waits_;  // told waits: until when nothing goes there
+  std::map<Endpoint, std::vector<Call>> joined_;    // what this turn sends to hosts that take bundles
   std::map<Endpoint, int> out_;                     // calls and probes out
   Time wake_ = 0;                                   // when the module wants to be asked again; 0: never
   Time armed_ = 0;                                  // and for when the timer is set
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -84,18 +84,44 @@
 
 }  // namespace
 
+std::string bundle_line(const Call& call) {
+  return call.call_id + " " + (call.key.empty() ? "-" : call.key) + " " + std::to_string(call.body.size()) +
+         "\r\n" + call.body + "\r\n";
+}
+
 // One request and its answer on one connection.
 class Upstream::Exchange : public std::enable_shared_from_this<Exchange> {
  public:
-  Exchange(Upstream& owner, Call call, bool probe)
-      : owner_(&owner), call_(std::move(call)), probe_(probe), socket_(owner.io_), timer_(owner.io_) {}
+  Exchange(Upstream& owner, std::vector<Call> calls, bool probe)
+      : owner_(&owner),
+        name_(probe, calls.front().id, calls.front().attempt),
+        endpoint_(calls.front().endpoint),
+        address_(calls.front().address),
+        probe_(probe),
+        socket_(owner.io_),
+        timer_(owner.io_) {
+    for (Call& call : calls) parts_.push_back({std::move(call), {}});
+  }
 
-  std::tuple<bool, uint64_t, int> name() const { return {probe_, call_.id, call_.attempt}; }
+  std::tuple<bool, uint64_t, int> name() const { return name_; }
+  bool holds(uint64_t id, int attempt) const {
+    return !probe_ && std::any_of(parts_.begin(), parts_.end(), [&](const Part& part) {
+      return !part.over && part.call.id == id && part.call.attempt == attempt;
+    });
+  }
 
+  // A message must not be sent again while this call is out, so the call ends with the first of its messages
+  // that would be. Those that are at their end leave it alone.
   void start() {
     begun_ = steady_now();
-    deadline_ = begun_ + call_.timeout;
-    if (auto kept = owner_->take(call_.endpoint, call_.address)) {
+    Time longest = 0;
+    Time shortest = std::numeric_limits<Time>::max();
+    for (const Part& part : parts_) {
+      longest = std::max(longest, part.call.timeout);
+      if (!part.call.last) shortest = std::min(shortest, part.call.timeout);
+    }
+    deadline_ = begun_ + std::min(longest, shortest);
+    if (auto kept = owner_->take(endpoint_, address_)) {
       socket_ = std::move(kept->socket);
       return settle(kept->since + kSettle);
     }
@@ -113,6 +139,14 @@
   }
 
  private:
+  struct Part {
+    Call call;
+    std::optional<Outcome> outcome;  // its own, where the answer tells the messages apart
+    bool gone = false;               // and it says that the message is over
+    bool began = false;              // MayStart allowed it
+    bool over = false;
+  };
+
   // A second answer right behind the first would be taken for this call's: it shows before the call is
   // written.
   void settle(Time ready) {
@@ -135,7 +169,7 @@
 
   void connect() {
     arm(std::min(deadline_, begun_ + owner_->limits_.connect_timeout));
-    socket_.async_connect(call_.address, [self = shared_from_this()](const Error& error) {
+    socket_.async_connect(address_, [self = shared_from_this()](const Error& error) {
       if (self->over_) return;
       if (error) return self->finish(Outcome::kConnectFailed);
       Error ignored;
@@ -146,36 +180,72 @@
   }
 
   void arm(Time at) {
+    until_ = at;
+    for (const Part& part : parts_) {
+      if (!part.over) at = std::min(at, begun_ + part.call.timeout);
+    }
     timer_.expires_at(at_time(at));
     timer_.async_wait([self = shared_from_this()](const Error& error) {
-      if (!error && !self->over_) self->give_up(Outcome::kTimeout);
+      if (!error && !self->over_) self->expire();
     });
   }
 
+  void expire() {
+    const Time now = steady_now();
+    if (now >= until_) return give_up(Outcome::kTimeout);
+    const auto self = shared_from_this();
+    for (Part& part : parts_) {
+      if (!part.over && now >= begun_ + part.call.timeout) end(part, unanswered(Outcome::kTimeout));
+    }
+    if (std::all_of(parts_.begin(), parts_.end(), [](const Part& part) { return part.over; })) {
+      return give_up(Outcome::kTimeout);
+    }
+    arm(until_);
+  }
+
   // What was never wholly written cannot have run.
+  Outcome unanswered(Outcome outcome) const {
+    return heard_ ? Outcome::kSpoilt : written_ ? outcome : Outcome::kConnectFailed;
+  }
+
   void give_up(Outcome outcome) {
     if (over_) return;
     if (heard_) return spoilt();
-    finish(written_ ? outcome : Outcome::kConnectFailed);
+    finish(unanswered(outcome));
   }
 
   void write() {
     // The connection took its time: what was told meanwhile counts.
-    if (!probe_ && !owner_->may_start_(call_)) {
+    const auto self = shared_from_this();
+    std::vector<Part*> going;
+    for (Part& part : parts_) {
+      if (part.over) continue;
+      part.began = probe_ || owner_->may_start_(part.call);
+      if (part.began) going.push_back(&part);
+    }
+    if (going.empty()) {
       idle_ = true;
       return finish(Outcome::kMoot);
     }
-    began_ = true;
+    for (Part& part : parts_) {
+      if (!part.over && !part.began) end(part, Outcome::kMoot);
+    }
+    bundle_ = going.size() > 1;
     request_.version(11);
     request_.method(probe_ ? http::verb::get : http::verb::post);
-    request_.target(probe_ ? "/-/healthy" : "/events");
-    request_.set(http::field::host, call_.address.address().to_string());
+    request_.target(probe_ ? "/-/healthy" : bundle_ ? "/events/bundle" : "/events");
+    request_.set(http::field::host, address_.address().to_string());
     if (!probe_) {
-      request_.set("X-Call-Id", call_.call_id);
-      if (!call_.key.empty()) request_.set("Idempotency-Key", call_.key);
+      Call& only = going.front()->call;
+      if (bundle_) {
+        for (const Part* part : going) request_.body() += bundle_line(part->call);
+      } else {
+        request_.set("X-Call-Id", only.call_id);
+        if (!only.key.empty()) request_.set("Idempotency-Key", only.key);
+        request_.body() = std::move(only.body);
+      }
       const Time left = std::max<Time>(1, (deadline_ - steady_now()) / 1000);
       request_.set("X-Budget", std::to_string(left) + "m");
-      request_.body() = std::move(call_.body);
       request_.prepare_payload();
     }
     http::async_write(socket_, request_, [self = shared_from_this()](const Error& error, size_t) {
@@ -246,10 +316,40 @@
   }
 
   // The answer will never be whole. The call may have run whatever status it shows, and has if its first line
-  // says so.
+  // says so; that is not enough for a bundle, whose messages may fare differently.
   void spoilt() {
-    final_ = delivered_;
-    finish(delivered_ ? Outcome::kOk : Outcome::kSpoilt);
+    final_ = delivered_ && !bundle_;
+    finish(final_ ? Outcome::kOk : Outcome::kSpoilt);
+  }
+
+  // A line for each message; all of them or none are believed.
+  bool parse_ends(std::string_view body) {
+    while (!body.empty()) {
+      const size_t end = std::min(body.find('\n'), body.size());
+      std::string_view line = body.substr(0, end);
+      body.remove_prefix(std::min(body.size(), end + 1));
+      if (line.ends_with('\r')) line.remove_suffix(1);
+      if (line.empty()) continue;
+      const size_t space = line.find(' ');
+      const auto part = std::find_if(parts_.begin(), parts_.end(), [&](const Part& p) {
+        return p.began && !p.outcome && p.call.call_id == line.substr(0, space);
+      });
+      if (space == std::string_view::npos || part == parts_.end()) return false;
+      const std::string_view what = line.substr(space + 1);
+      if (what == "done") {
+        part->outcome = Outcome::kOk;
+      } else if (what == "failed") {
+        part->outcome = Outcome::kError;
+      } else if (what == "busy") {
+        part->outcome = Outcome::kFull;
+      } else if (what == "void" || what == "used_up") {
+        part->outcome = Outcome::kMoot;
+        part->gone = what == "void";
+      } else {
+        return false;
+      }
+    }
+    return std::all_of(parts_.begin(), parts_.end(), [](const Part& p) { return !p.began || p.outcome; });
   }
 
   void answered() {
@@ -258,6 +358,14 @@
     report_ = parse_report(view(answer["X-Load-Report"]), owner_->report_fields_);
     switch (answer.result_int()) {
       case 200:
+        if (bundle_) {
+          if (!parse_ends(answer.body())) {
+            for (Part& part : parts_) part.outcome.reset();
+            return spoilt();
+          }
+          wait_ = parse_wait(view(answer[http::field::retry_after]), owner_->limits_.most_wait);
+          return finish(Outcome::kOk);
+        }
         final_ = true;
         return finish(Outcome::kOk);
       case 410:
@@ -281,7 +389,7 @@
     const auto self = shared_from_this();
     owner_->exchanges_.erase(name());
     if (idle_) {
-      owner_->keep(call_.endpoint, std::move(socket_));
+      owner_->keep(endpoint_, std::move(socket_));
     } else {
       Error ignored;
       socket_.close(ignored);
@@ -289,24 +397,35 @@
     // After silence the host's other idle connections are suspect: a call lost on one may have run, one that
     // finds no new connection has not.
     if (outcome == Outcome::kTimeout || outcome == Outcome::kReset || outcome == Outcome::kConnectFailed) {
-      owner_->close_idle(call_.endpoint);
+      owner_->close_idle(endpoint_);
+    }
+    if (probe_) {
+      return owner_->probed_({endpoint_, outcome == Outcome::kOk, steady_now() - begun_, std::move(report_)});
     }
-    const Time took = steady_now() - begun_;
-    if (probe_) return owner_->probed_({call_.endpoint, outcome == Outcome::kOk, took, std::move(report_)});
+    for (Part& part : parts_) {
+      if (!part.over) end(part, part.outcome.value_or(outcome));
+    }
+  }
+
+  void end(Part& part, Outcome outcome) {
+    part.over = true;
     AttemptEnded out;
-    out.id = call_.id;
-    out.attempt = call_.attempt;
-    out.endpoint = call_.endpoint;
+    out.id = part.call.id;
+    out.attempt = part.call.attempt;
+    out.endpoint = endpoint_;
     out.outcome = outcome;
-    out.final = final_;
-    out.took = took;
+    out.final = part.outcome ? outcome == Outcome::kOk || part.gone : final_;
+    out.took = steady_now() - begun_;
     out.wait = wait_;
-    out.report = std::move(report_);
-    owner_->ended_(out, began_);
+    out.report = report_;
+    owner_->ended_(out, part.began);
   }
 
   Upstream* owner_;
-  Call call_;
+  std::tuple<bool, uint64_t, int> name_;
+  Endpoint endpoint_;
+  tcp::endpoint address_;
+  std::vector<Part> parts_;
   bool probe_;
   tcp::socket socket_;
   boost::asio::steady_timer timer_;
@@ -315,7 +434,8 @@
   std::optional<http::response_parser<http::string_body>> parser_;
   Time begun_ = 0;
   Time deadline_ = 0;
-  bool began_ = false;
+  Time until_ = 0;  // when the whole call is given up
+  bool bundle_ = false;
   bool written_ = false;
   bool over_ = false;
   bool idle_ = false;       // the connection may be used again
@@ -344,7 +464,11 @@
   for (const auto& [name, exchange] : exchanges_) exchange->orphan();
 }
 
-void Upstream::call(Call call) { start(std::make_shared<Exchange>(*this, std::move(call), false)); }
+void Upstream::call(Call one) { call(std::vector<Call>{std::move(one)}); }
+
+void Upstream::call(std::vector<Call> bundle) {
+  start(std::make_shared<Exchange>(*this, std::move(bundle), false));
+}
 
 void Upstream::probe(const Endpoint& endpoint, const tcp::endpoint& address) {
   Call call;
@@ -352,7 +476,7 @@
   call.endpoint = endpoint;
   call.address = address;
   call.timeout = kProbeTimeout;
-  start(std::make_shared<Exchange>(*this, std::move(call), true));
+  start(std::make_shared<Exchange>(*this, std::vector<Call>{std::move(call)}, true));
 }
 
 void Upstream::start(std::shared_ptr<Exchange> exchange) {
@@ -362,7 +486,8 @@
 }
 
 void Upstream::cancel(uint64_t id, int attempt) {
-  const auto it = exchanges_.find({false, id, attempt});
+  const auto it = std::find_if(exchanges_.begin(), exchanges_.end(),
+                               [&](const auto& entry) { return entry.second->holds(id, attempt); });
   if (it == exchanges_.end()) return;
   const auto exchange = it->second;
   exchange->cancel();
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -1,4 +1,5 @@
-// Calls to hosts over kept-alive HTTP/1.1 connections. Nothing is ever sent again by itself.
+// Calls to hosts over kept-alive HTTP/1.1 connections, each with one message or a bundle of them. Nothing is
+// ever sent again by itself.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -15,7 +16,7 @@
 
 namespace firspool::relay {
 
-struct Call {
+struct Call {       // one message's part in a call
   uint64_t id = 0;  // the module's
   int attempt = 0;
   Endpoint endpoint;
@@ -25,8 +26,13 @@
   std::string body;
   Time timeout = 0;
   Time start_by = 0;  // no byte of it may be written later
+  bool last = false;  // the time-out is the message's end: it is not sent again after it
 };
 
+// A message's part of the body of a call with several.
+std::string bundle_line(const Call& call);
+constexpr size_t kMostBundle = 64 * 1024;
+
 class Upstream {
  public:
   struct Limits {
@@ -35,7 +41,7 @@
     size_t most_open = 256;  // connections, with a call on them or idle
     Time most_wait = 0;      // a longer told wait is held to this
   };
-  // Asked right before a call's first byte: a call that may no longer start ends as kMoot.
+  // Asked right before a call's first byte, for each message: one that may no longer start ends as kMoot.
   using MayStart = std::function<bool(const Call&)>;
   using Ended = std::function<void(const AttemptEnded&, bool began)>;  // began: MayStart allowed it
   using Probed = std::function<void(const ProbeEnded&)>;
@@ -45,6 +51,9 @@
   ~Upstream();
 
   void call(Call call);
+  // All to one host, in one call: one slot, and one connection. Their bundle lines are kMostBundle at most.
+  void call(std::vector<Call> bundle);
+  // Ends the whole call that the message travels in.
   void cancel(uint64_t id, int attempt);
   void probe(const Endpoint& endpoint, const tcp::endpoint& address);
   void close_idle(const Endpoint& endpoint);
@@ -73,7 +82,7 @@
   uint64_t last_probe_ = 0;
   size_t idle_count_ = 0;
   std::map<Endpoint, std::vector<Idle>> idle_;  // the most recently used last
-  std::map<std::tuple<bool, uint64_t, int>, std::shared_ptr<Exchange>> exchanges_;
+  std::map<std::tuple<bool, uint64_t, int>, std::shared_ptr<Exchange>> exchanges_;  // by their first message
 };
 
 }  // namespace firspool::relay
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -80,6 +80,28 @@
   }
 }
 
+// The module counts what goes to one host in one turn as one call, with one slot.
+TEST(Program, SendsTheMessagesOfOneTurnAsABundle) {
+  Stage s;
+  s.config["settings"]["family_info"]["calls_out"] = 1;
+  s.config["settings"]["family_info"]["kind_batch"] = {3};
+  Program program(s.config);
+  program.start();
+  Socket client = program.client();
+  for (int i = 0; i < 6; ++i) {
+    client.send(put_bytes("m" + std::to_string(i), kFacts, "b" + std::to_string(i)));
+    EXPECT_EQ(client.line(), "+OK");
+  }
+  EXPECT_EQ(id_of(s.host.next()), "m0");
+  s.host.answer("200");
+  const Request bundle = s.host.next();
+  EXPECT_EQ(bundle.first, "POST /events/bundle HTTP/1.1");
+  EXPECT_EQ(bundle.body,
+            "m1 5c0f6e1a2b3d4c59 2\r\nb1\r\nm2 5c0f6e1a2b3d4c59 2\r\nb2\r\nm3 5c0f6e1a2b3d4c59 2\r\nb3\r\n");
+  s.host.raw("HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\nm1 done\r\nm2 done\r\nm3 done\r\n");
+  EXPECT_EQ(s.host.next().body, "m4 5c0f6e1a2b3d4c59 2\r\nb4\r\nm5 5c0f6e1a2b3d4c59 2\r\nb5\r\n");
+}
+
 TEST(Program, AnswersPipelinedRequestsInOrderAndPiecesToo) {
   Stage s;
   s.program.start();
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -1,6 +1,7 @@
 // Outcomes of calls, against a host that the test plays.
 #include "upstream.h"
 
+#include <atomic>
 #include <functional>
 
 #include "peers.h"
@@ -35,6 +36,39 @@
     return *ended_;
   }
 
+  // A bundle of messages a, b, c, of which each outcome is returned by its place.
+  std::vector<AttemptEnded> bundle(const std::function<void(Host&)>& part, std::vector<Time> timeouts,
+                                   const std::vector<bool>& last = {false, false, false}) {
+    std::thread host([&] { part(host_); });
+    std::vector<Call> calls;
+    for (size_t i = 0; i < timeouts.size(); ++i) {
+      Call next;
+      next.id = i;
+      next.endpoint = {1, 0};
+      next.address = {boost::asio::ip::address_v4::loopback(), host_.port()};
+      next.call_id = std::string(1, static_cast<char>('a' + i));
+      next.key = i == 1 ? "" : "k" + next.call_id;
+      next.body = std::string(i + 1, 'x');
+      next.timeout = timeouts[i];
+      next.last = last[i];
+      calls.push_back(std::move(next));
+    }
+    ends_.clear();
+    ended_count_ = 0;
+    upstream_.call(std::move(calls));
+    io_.restart();
+    while (ends_.size() < timeouts.size()) io_.run_one();
+    host.join();
+    std::vector<AttemptEnded> out(timeouts.size());
+    for (const AttemptEnded& end : ends_) out[end.id] = end;
+    return out;
+  }
+
+  static std::string told(const std::string& body, const std::string& headers = "") {
+    return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+  }
+
   static std::function<void(Host&)> answering(const std::string& status, const std::string& headers = "") {
     return [=](Host& host) {
       host.next();
@@ -46,6 +80,8 @@
   bool may_start_ = true;
   bool began_ = false;
   std::optional<AttemptEnded> ended_;
+  std::vector<AttemptEnded> ends_;
+  std::atomic<int> ended_count_ = 0;  // for the host's thread
   uint64_t last_ = 0;
   Host host_;
   Upstream upstream_{io_,
@@ -54,6 +90,8 @@
                      [this](const Call&) { return may_start_; },
                      [this](const AttemptEnded& end, bool began) {
                        ended_ = end;
+                       ends_.push_back(end);
+                       ++ended_count_;
                        began_ = began;
                      },
                      [](const ProbeEnded&) {}};
@@ -77,6 +115,85 @@
   EXPECT_EQ(host_.connections(), 1);  // all on one connection
 }
 
+TEST_F(UpstreamTest, ABundleIsOneCallAndTellsEachMessagesEnd) {
+  const auto ends = bundle(
+      [](Host& host) {
+        const auto request = host.next();
+        EXPECT_EQ(request.first, "POST /events/bundle HTTP/1.1");
+        EXPECT_EQ(request.body, "a ka 1\r\nx\r\nb - 2\r\nxx\r\nc kc 3\r\nxxx\r\n");
+        host.raw(told("c busy\r\na done\r\nb failed\r\n", "Retry-After: 1.5\r\n"));
+      },
+      {20'000'000, 20'000'000, 20'000'000});
+  EXPECT_EQ(ends[0].outcome, Outcome::kOk);
+  EXPECT_TRUE(ends[0].final);
+  EXPECT_EQ(ends[1].outcome, Outcome::kError);
+  EXPECT_FALSE(ends[1].final);
+  EXPECT_EQ(ends[2].outcome, Outcome::kFull);
+  EXPECT_EQ(ends[2].wait, 1'500'000);
+  const auto over = bundle(
+      [](Host& host) {
+        host.next();
+        host.raw(told("a void\r\nb used_up\r\n"));
+      },
+      {20'000'000, 20'000'000});
+  EXPECT_EQ(over[0].outcome, Outcome::kMoot);
+  EXPECT_TRUE(over[0].final);
+  EXPECT_EQ(over[1].outcome, Outcome::kMoot);
+  EXPECT_FALSE(over[1].final);
+  EXPECT_EQ(host_.connections(), 1);
+  for (const AttemptEnded& end : bundle(answering("503"), {20'000'000, 20'000'000})) {
+    EXPECT_EQ(end.outcome, Outcome::kFull);
+  }
+}
+
+// Its messages may have fared differently: a first line with 200 is no proof for any of them.
+TEST_F(UpstreamTest, AnUnreadableAnswerToABundleIsNobodysProof) {
+  for (const std::string body : {"a done\r\n", "a done\r\nb\r\n", "a done\r\na done\r\n",
+                                 "a done\r\nz done\r\n", "a done\r\nb well\r\n"}) {
+    const auto ends = bundle(
+        [&](Host& host) {
+          host.next();
+          host.raw(told(body));
+        },
+        {20'000'000, 20'000'000});
+    for (const AttemptEnded& end : ends) {
+      EXPECT_EQ(end.outcome, Outcome::kSpoilt) << body;
+      EXPECT_FALSE(end.final) << body;
+    }
+  }
+}
+
+// No message is sent again while a call with it is out: the first that might be ends the call for all.
+TEST_F(UpstreamTest, ABundleEndsWithTheFirstMessageThatMayBeSentAgain) {
+  for (const AttemptEnded& end : bundle([](Host& host) { host.next(); }, {200'000, 30'000'000})) {
+    EXPECT_EQ(end.outcome, Outcome::kTimeout);
+    EXPECT_LT(end.took, 20'000'000);
+  }
+  const auto ends = bundle(
+      [this](Host& host) {
+        host.next();
+        while (ended_count_ == 0) std::this_thread::yield();
+        host.raw(told("a done\r\nb done\r\n"));
+      },
+      {200'000, 30'000'000}, {true, false});
+  EXPECT_EQ(ends[0].outcome, Outcome::kTimeout);
+  EXPECT_EQ(ends[1].outcome, Outcome::kOk);
+}
+
+TEST_F(UpstreamTest, CancellingOneMessageEndsItsBundle) {
+  std::vector<Call> calls(2);
+  for (size_t i = 0; i < calls.size(); ++i) {
+    calls[i].id = i;
+    calls[i].endpoint = {1, 0};
+    calls[i].address = {boost::asio::ip::address_v4::loopback(), host_.port()};
+    calls[i].timeout = 20'000'000;
+  }
+  upstream_.call(std::move(calls));
+  upstream_.cancel(1, 0);
+  EXPECT_EQ(ends_.size(), 2u);
+  EXPECT_EQ(upstream_.out(), 0u);
+}
+
 TEST_F(UpstreamTest, ABrokenConnectionAfterTheLastByteIsAReset) {
   EXPECT_EQ(call([](Host& host) {
               host.next();
