Size the retry bucket by the messages that one refusal turns away

Cause: the bucket held ten tokens for every destination, and each repeated message pays one. Where up to twenty messages travel as one call, one refusal needs twenty tokens: after it the bucket of a bulk receiver was empty, and its messages waited for tokens until they were given back. The cap is now ten tokens for each message of a bundle; deposits and the price of a repeat are as they were, and single messages keep their ten.

Test: RetryBucket.ARefusedBundleIsRepeatedWhole, seen to fail without the change.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -19,8 +19,10 @@
 constexpr Time kNever = std::numeric_limits<Time>::max();
 
 // Retry bucket: a served call earns a tenth, so repeats stay under a tenth when failures are common.
-constexpr int kToken = 10;               // in parts; a served call earns one
-constexpr int kBucketCap = 10 * kToken;  // full at the start: short troubles are ridden out by N retries
+constexpr int kToken = 10;  // in parts; a served call earns one
+// Full at the start: short troubles are ridden out by N retries. For each message of a bundle, as one refusal
+// turns all of them away.
+constexpr int kBucketCap = 10 * kToken;
 constexpr Time kPauseLeast = 20 * kMs;  // a repeat's random pause: long enough to leave the moment of failure
 constexpr Time kPauseMost = 250 * kMs;
 
@@ -201,9 +203,10 @@
 
 struct Destination {
   int kind = 0;
-  int tokens = kBucketCap;  // in parts
+  int cap = 0;     // of the retry bucket, in parts
+  int tokens = 0;  // in it
   int calls = 0;
-  DestinationMemory remembered{0, kBucketCap};
+  DestinationMemory remembered;
   Latency usual;  // the pace without outliers, against which the slot share narrows
   Latency latency;
 };
@@ -264,9 +267,12 @@
       host.gone = m.listing == Listing::kGone;
       if (host.gone) leaving_.insert(m.endpoint);
       by_destination_[m.destination][m.endpoint] = &host;
-      Destination& d = destinations_[m.destination];
+      auto [place, fresh] = destinations_.try_emplace(m.destination);
+      Destination& d = place->second;
       d.kind = m.kind;
-      d.remembered.destination = m.destination;
+      d.cap = kBucketCap * batch_of(m);
+      if (fresh) d.tokens = d.cap;
+      if (fresh) d.remembered = {m.destination, d.cap};
       if (set_.weights != Weights::kNone && m.weight > 0 && host.ready) host.lane->limit = m.weight;
     }
   }
@@ -333,7 +339,7 @@
   void fold(const PeerNote&) {}
   void fold(const DestinationMemory& e) {
     Destination& d = destinations_[e.destination];
-    d.tokens = std::clamp(e.tokens, 0, kBucketCap);
+    d.tokens = std::max(0, e.tokens);  // the list, with the cap, may come later
     d.remembered = e;
     if (e.out_since == 0) return;
     const LaneKey key = {e.destination, Endpoint{}};
@@ -403,7 +409,7 @@
     }
     switch (e.outcome) {
       case Outcome::kOk:
-        d.tokens = std::min(kBucketCap, d.tokens + 1);
+        d.tokens = std::min(d.cap, d.tokens + 1);
         host.latency.add(seconds(e.took));
         kinds_[d.kind].latency.add(seconds(e.took));
         learn_latency(d, e.took);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -91,6 +91,23 @@
   EXPECT_EQ(repeats_of_one_failure(), 1);
 }
 
+// One refusal turns a whole bundle away: its messages have a first fill each, as single ones do.
+TEST(RetryBucket, ARefusedBundleIsRepeatedWhole) {
+  Settings s = plain_settings();
+  s.kinds[0].batch = 20;
+  s.slots = 100;
+  const MembersChanged list = unguarded(s);
+  Relay relay(s);
+  std::vector<Event> events = {list};
+  for (uint64_t id = 1; id <= 20; ++id) events.push_back(relay.message(id, 0));
+  const auto first = all_of<Send>(relay.step(0, events));
+  ASSERT_EQ(first.size(), 20u);
+  events.clear();
+  for (const Send& send : first) events.push_back(ended(send, 0, Outcome::kFull));
+  relay.step(100'000, events);
+  EXPECT_EQ(all_of<Send>(relay.idle(110'000, 15 * kSecond, 10'000)).size(), 20u);
+}
+
 // ---- Promises of a class ----
 
 TEST(Promises, UnsafeIsRepeatedOnlyAfterProofThatItNeverRan) {
