Learn from a bundle once, as from the one call that it is

Cause: each message of a bundle taught the module the bundle's fate again. One timed-out bundle of twenty was twenty lost calls: the hope that overdue calls are served after all fell to nothing at once, and from then on slow calls were cancelled at 0.7 s whenever slots were short, each a bundle that was never served and had perhaps run. A single lost bundle was also an outage by itself, which held first attempts back. Each outcome of a call now teaches once; tokens and served rates are still counted by message.

Test: Batches.ALostBundleIsOneLostCall, seen to fail without the change.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -138,6 +138,11 @@
   Time idle = 0;       // how long its connection had been idle; 0: fresh or busy
 };
 
+struct CallOut {
+  int left = 0;         // messages in it that have no outcome yet
+  unsigned taught = 0;  // a bit for each outcome that was learnt from
+};
+
 struct Message {
   Arrival in;
   Time target = 0;  // until then it earns its full worth
@@ -271,8 +276,7 @@
       Destination& d = place->second;
       d.kind = m.kind;
       d.cap = kBucketCap * batch_of(m);
-      if (fresh) d.tokens = d.cap;
-      if (fresh) d.remembered = {m.destination, d.cap};
+      if (fresh) d.remembered = {m.destination, d.tokens = d.cap};
       if (set_.weights != Weights::kNone && m.weight > 0 && host.ready) host.lane->limit = m.weight;
     }
   }
@@ -370,14 +374,19 @@
     Lane& l = *host.lane;
     Destination& d = destinations_[host.member.destination];
     const auto call = calls_.find(attempt.call);
-    if (--call->second == 0) {
+    const bool news = (call->second.taught & 1 << static_cast<int>(e.outcome)) == 0;
+    call->second.taught |= 1 << static_cast<int>(e.outcome);
+    if (--call->second.left == 0) {
       calls_.erase(call);
       --host.calls;
       --d.calls;
     }
     host.last_used = now_;
     l.scouts -= attempt.scout;
-    learn(e, attempt, host, l, d);
+    // The messages of a bundle share one fate: that is one piece of evidence, not one for each.
+    if (e.outcome == Outcome::kOk) d.tokens = std::min(d.cap, d.tokens + 1);
+    if (news) learn(e, attempt, host, l, d);
+    if (!news && e.outcome == Outcome::kOk) l.served.add(now_);
     if (host.calls == 0 && kinds_[d.kind].unconnected > kFullTable) close_idle(host);
     const auto found = messages_.find(e.id);
     if (found == messages_.end()) return;
@@ -400,6 +409,7 @@
   }
 
   void learn(const AttemptEnded& e, const Attempt& attempt, Host& host, Lane& l, Destination& d) {
+    const Time pause = e.wait > 0 ? random_.between(0, kPauseMost) : 0;
     heed_report(e, l);
     learn_idle(e.outcome, attempt, kinds_[d.kind], l);
     // Slow or lost: whether calls past the suspicious age are served after all.
@@ -409,7 +419,6 @@
     }
     switch (e.outcome) {
       case Outcome::kOk:
-        d.tokens = std::min(d.cap, d.tokens + 1);
         host.latency.add(seconds(e.took));
         kinds_[d.kind].latency.add(seconds(e.took));
         learn_latency(d, e.took);
@@ -419,10 +428,8 @@
         return served(attempt, l);
       case Outcome::kFull:
         // At the end of a wait all relays that were told come back: the random pause keeps them out of step.
-        if (e.wait > 0) {
-          l.wait_until = std::max(l.wait_until, now_ + e.wait + set_.tick + random_.between(0, kPauseMost));
-        }
         if (e.wait == 0) narrow(attempt, l);
+        if (e.wait > 0) l.wait_until = std::max(l.wait_until, now_ + e.wait + set_.tick + pause);
         return unserved(attempt, l, false, e.wait > 0);
       case Outcome::kError:
       case Outcome::kReset:
@@ -728,9 +735,8 @@
   // Whether another attempt may ever be made.
   bool hopeless(const Message& m) const {
     const ClassSettings& c = set_.classes[m.in.message_class];
-    if (m.attempts >= set_.max_attempts) return true;
-    if (!m.ran) return false;
-    return c.effect == Effect::kUnsafe || (c.effect == Effect::kKeyed && now_ >= window_end(m));
+    const bool closed = c.effect == Effect::kKeyed && now_ >= window_end(m);
+    return m.attempts >= set_.max_attempts || (m.ran && (c.effect == Effect::kUnsafe || closed));
   }
 
   Time window_end(const Message& m) const {
@@ -959,7 +965,7 @@
       host.conns = host.calls / std::max(1, set_.streams_per_conn) + 1;
     }
     host.last_used = now_;
-    calls_[++last_call_] = 0;
+    calls_[++last_call_] = {};
     ++host.calls;
     ++d.calls;
     charge(*host.lane);
@@ -972,7 +978,7 @@
     if (m.repeat) d.tokens -= kToken;
     m.repeat = false;
     m.out = true;
-    ++calls_[last_call_];
+    ++calls_[last_call_].left;
     attempts_[{m.in.id, m.attempts++}] = {host.member.endpoint, now_, last_call_, false, scout, idle_};
     Send out{m.in.id, host.member.endpoint, timeout_of(m, d)};
     const bool window = m.ran && set_.classes[m.in.message_class].effect == Effect::kKeyed;
@@ -1021,7 +1027,7 @@
   std::map<int, Kind> kinds_;
   std::map<uint64_t, Message> messages_;
   std::map<std::pair<uint64_t, int>, Attempt> attempts_;
-  std::map<uint64_t, int> calls_;  // calls out, with their messages that have no outcome yet
+  std::map<uint64_t, CallOut> calls_;
   std::map<Endpoint, Host> hosts_;
   std::set<Endpoint> leaving_;  // of these, those that are gone but may have calls out
   std::map<int, std::map<Endpoint, Host*>> by_destination_;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -239,6 +239,22 @@
   EXPECT_EQ(all_of<Send>(relay.step(100'000, answers)).size(), 2u);
 }
 
+// A bundle has one fate: its messages are no more evidence against a destination than one call is.
+TEST(Batches, ALostBundleIsOneLostCall) {
+  Settings s = plain_settings();
+  s.kinds[0].batch = 20;
+  const MembersChanged list = unguarded(s);
+  Relay relay(s);
+  std::vector<Event> events = {list};
+  for (uint64_t id = 1; id <= 20; ++id) events.push_back(relay.message(id, 0));
+  const auto sends = all_of<Send>(relay.step(0, events));
+  ASSERT_EQ(sends.size(), 20u);
+  events.clear();
+  for (const Send& send : sends) events.push_back(ended(send, 0, Outcome::kTimeout, kSecond));
+  for (uint64_t id = 21; id <= 30; ++id) events.push_back(relay.message(id, kSecond));
+  EXPECT_EQ(all_of<Send>(relay.step(kSecond, events)).size(), 10u);
+}
+
 TEST(Shedding, TheLeastWorthIsGivenBackWhenRoomRunsOut) {
   Settings s = plain_settings();
   s.max_open = 10;
