Heed the wait of every message in a bundle

A wait is a rule and no evidence: it is now heeded for each message, whatever was learnt from its call before.

Test: Batches.TheLongestWaitThatABundleIsToldHolds, seen to fail without the change.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -385,6 +385,9 @@
     l.scouts -= attempt.scout;
     // The messages of a bundle share one fate: that is one piece of evidence, not one for each.
     if (e.outcome == Outcome::kOk) d.tokens = std::min(d.cap, d.tokens + 1);
+    // At a wait's end all relays that were told come back: the random pause keeps them out of step.
+    const Time opens = now_ + e.wait + set_.tick;
+    if (e.wait > 0 && l.wait_until < opens) l.wait_until = opens + random_.between(0, kPauseMost);
     if (news) learn(e, attempt, host, l, d);
     if (!news && e.outcome == Outcome::kOk) l.served.add(now_);
     if (host.calls == 0 && kinds_[d.kind].unconnected > kFullTable) close_idle(host);
@@ -409,7 +412,6 @@
   }
 
   void learn(const AttemptEnded& e, const Attempt& attempt, Host& host, Lane& l, Destination& d) {
-    const Time pause = e.wait > 0 ? random_.between(0, kPauseMost) : 0;
     heed_report(e, l);
     learn_idle(e.outcome, attempt, kinds_[d.kind], l);
     // Slow or lost: whether calls past the suspicious age are served after all.
@@ -427,9 +429,7 @@
         host.avoid_until = 0;
         return served(attempt, l);
       case Outcome::kFull:
-        // At the end of a wait all relays that were told come back: the random pause keeps them out of step.
         if (e.wait == 0) narrow(attempt, l);
-        if (e.wait > 0) l.wait_until = std::max(l.wait_until, now_ + e.wait + set_.tick + pause);
         return unserved(attempt, l, false, e.wait > 0);
       case Outcome::kError:
       case Outcome::kReset:
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -255,6 +255,19 @@
   EXPECT_EQ(all_of<Send>(relay.step(kSecond, events)).size(), 10u);
 }
 
+TEST(Batches, TheLongestWaitThatABundleIsToldHolds) {
+  Settings s = plain_settings();
+  s.kinds[0].batch = 2;
+  Relay relay(s);
+  const auto sends =
+      all_of<Send>(relay.step(0, {members({member(1)}), relay.message(1, 0), relay.message(2, 0)}));
+  ASSERT_EQ(sends.size(), 2u);
+  relay.step(10'000, {ended(sends[0], 0, Outcome::kFull, 10'000, 200'000),
+                      ended(sends[1], 0, Outcome::kFull, 10'000, 2 * kSecond)});
+  EXPECT_TRUE(all_of<Send>(relay.idle(20'000, 2 * kSecond, 10'000)).empty());
+  EXPECT_EQ(all_of<Send>(relay.idle(2 * kSecond, 4 * kSecond, 10'000)).size(), 2u);
+}
+
 TEST(Shedding, TheLeastWorthIsGivenBackWhenRoomRunsOut) {
   Settings s = plain_settings();
   s.max_open = 10;
