Charge a returning receiver the work of a bundle, not one call

Cause: what a cold receiver is sent is held against the rate that it took before its outage, which counts messages; a bundle of up to twenty was charged as one. Each further message now costs 0.15 of a call, in the middle of what bundles cost here, and a bundle may go ahead of the budget by half the window over which the rule looks.

Test: Outages.BundlesCountTheirWorkOnReturn, seen to fail without the change (27 calls of work, 11 allowed).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <stdexcept>
+#include <utility>
 
 namespace firspool {
 namespace {
@@ -53,9 +54,10 @@
 constexpr Time kAvoidMost = 8 * kSecond;
 
 // Guards.
-constexpr double kColdMargin = 0.7;  // part of the fail-back budget that is used: counts and clocks differ
-constexpr double kScoutPart = 0.5;   // scouts of all relays together, in parts of the rate before the outage
-constexpr double kScoutLeast = 1.5;  // scouts a second of all relays together at least
+constexpr double kColdMargin = 0.7;   // part of the fail-back budget that is used: counts and clocks differ
+constexpr double kBundleWork = 0.15;  // work of a further message in a call, in parts of the first
+constexpr double kScoutPart = 0.5;    // scouts of all relays together, in parts of the rate before the outage
+constexpr double kScoutLeast = 1.5;   // scouts a second of all relays together at least
 constexpr double kHolders = 5;  // seconds: holders of messages are counted as of an outage at least this old
 constexpr double kBaseLeast = 1.2;   // calls a second of all relays together, assumed where none was served
 constexpr double kFirstPace = 0.3;   // calls a second: least pace that the first refusal is held against
@@ -388,8 +390,8 @@
     // At a wait's end all relays that were told come back: the random pause keeps them out of step.
     const Time opens = now_ + e.wait + set_.tick;
     if (e.wait > 0 && l.wait_until < opens) l.wait_until = opens + random_.between(0, kPauseMost);
+    if (e.outcome == Outcome::kOk) l.served.add(now_);
     if (news) learn(e, attempt, host, l, d);
-    if (!news && e.outcome == Outcome::kOk) l.served.add(now_);
     if (host.calls == 0 && kinds_[d.kind].unconnected > kFullTable) close_idle(host);
     const auto found = messages_.find(e.id);
     if (found == messages_.end()) return;
@@ -509,7 +511,6 @@
   }
 
   void served(const Attempt& attempt, Lane& l) {
-    l.served.add(now_);
     l.last_served_sent = std::max(l.last_served_sent, attempt.sent);
     l.streak = l.hard = 0;
     l.probe_ok = false;
@@ -692,7 +693,6 @@
   }
 
   void charge(Lane& l) {
-    if (l.out_since != 0) l.cold.tokens -= 1;
     if (l.pace > 0) l.pacer.tokens -= 1;
   }
 
@@ -700,13 +700,11 @@
   // would end. Not trusted alone, as a probe may pass a hang by.
   bool may_scout(Lane& l, Host& host) {
     if (l.out_since == 0 || l.back_since != 0 || !set_.may_probe) return true;
-    if (l.probe_ok) {
-      l.probe_ok = false;
-      return true;
-    }
+    if (std::exchange(l.probe_ok, false)) return true;
     if (!l.probe_out) {
       out_->push_back(Probe{host.member.endpoint});
       l.probe_out = host.probe_out = true;
+      l.cold.tokens -= 1;
       charge(l);
     }
     return false;
@@ -893,8 +891,9 @@
     if (l.out_since != 0 && l.back_since == 0) return;  // one message is scout enough
     // What goes to one endpoint in one round may share a call: one slot, one place under the limit, one fate.
     int room = batch_of(host->member) - 1;
+    const double debt = l.out_since == 0 ? 0 : seconds(set_.fall_window) / 2 * cold_rate(l);
     for (const Candidate& c : waiting) {
-      if (room <= 0) return;
+      if (room <= 0 || (l.out_since != 0 && l.cold.tokens < kBundleWork - debt)) return;
       Message& other = messages_.at(c.id);
       if (other.out || other.in.destination != m.in.destination) continue;
       if ((other.repeat && d.tokens < kToken) || !in_scope(other, *host)) continue;
@@ -975,6 +974,7 @@
     Lane& l = *host.lane;
     const bool scout = l.out_since != 0 && l.back_since == 0;
     l.scouts += scout;
+    if (l.out_since != 0) l.cold.tokens -= calls_[last_call_].left == 0 ? 1 : kBundleWork;
     if (m.repeat) d.tokens -= kToken;
     m.repeat = false;
     m.out = true;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -339,6 +339,32 @@
             10);
 }
 
+// What goes as one call is more work than one message: a cold destination is sent bundles to match.
+TEST(Outages, BundlesCountTheirWorkOnReturn) {
+  Settings s = plain_settings();
+  s.kinds[0].batch = 20;
+  s.slots = 100;
+  Relay relay(s);
+  uint64_t id = 0;
+  const Time start = warm_up(relay, id);  // about five a second
+  const auto told = all_of<Send>(relay.step(start, {relay.message(++id, start)}));
+  ASSERT_EQ(told.size(), 1u);
+  const Time back = start + 5 * kSecond;
+  std::vector<Event> events = {ended(told[0], 0, Outcome::kFull, 0, back - start)};
+  for (int i = 0; i < 150; ++i) events.push_back(relay.message(++id, start));
+  EXPECT_TRUE(all_of<Send>(relay.step(start, events)).empty());
+  events.clear();
+  double work = 0;
+  for (Time t = back; t < back + s.fall_window; t += 50'000) {
+    const auto sends = all_of<Send>(relay.step(t, events));
+    events.clear();
+    for (const Send& send : sends) events.push_back(ended(send, send.id == told[0].id ? 1 : 0, Outcome::kOk));
+    if (!sends.empty()) work += 1 + 0.15 * static_cast<double>(sends.size() - 1);
+  }
+  EXPECT_GT(work, 1);
+  EXPECT_LE(work, 2 * 0.25 * 5 * 3 * 1.5);  // twice what it can do as it returns, and warms up meanwhile
+}
+
 // A few lost answers among served calls are not an outage: first attempts go on.
 TEST(Outages, LostAnswersAmongServedCallsHoldNothing) {
   Settings s = plain_settings();
