Open the operators' address, and let operators drain the relay and end the drain

The unit control reads one HTTP/1.1 call per connection and bounds its callers; relay answers readyz, drain and activate. A drain lets client connections go between requests while the listener stays.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -26,6 +26,7 @@
 constexpr Time kMostDrain = 5 * kSecond;  // after an error, so that a client still sending gets to read it
 constexpr size_t kMostDrained = 96 * 1024 * 1024;  // bytes, and so many bytes of it
 constexpr size_t kDrainAtOnce = 256 * 1024;
+constexpr Time kServeOn = kSecond / 2;  // in a drain: the front hears of it, and new connections still come
 // For another connection to be let in, at the limit.
 constexpr Time kIdleLeast = 2 * kSecond;         // between requests
 constexpr Time kPressedLeast = kSecond / 20;     // the same, where every other was of use just now
@@ -114,9 +115,12 @@
     state_ = State::kReading;
     socket_.async_wait(tcp::socket::wait_read,
                        [self = shared_from_this()](auto error) { self->readable(error); });
-    if (owner_->finishing_) finish();
+    if (owner_->finishing_ || (spoke_ && owner_->leaving())) finish();
   }
 
+  // What was answered is between requests; what never spoke may be a client that comes just now.
+  bool spoke() const { return spoke_; }
+
   // Wakes a pending read, which then decides: bytes that came in the meantime are a request to be served.
   void finish() {
     boost::system::error_code ignored;
@@ -203,6 +207,7 @@
     state_ = State::kServing;
     const std::string command = upper(words[0]);
     if (command == "PING" && words.size() <= 2) {
+      if (owner_ == nullptr || owner_->draining_since_ != 0) return answer("-DRAINING");
       if (words.size() == 1) return answer("+PONG");
       return answer("$" + std::to_string(words[1].size()) + "\r\n" + words[1]);
     }
@@ -340,6 +345,7 @@
   for (auto next = sessions_.begin(); next != sessions_.end();) {
     const auto session = *next++;
     session->check(now);
+    if (session->spoke() && leaving()) session->finish();
   }
   accept();
   sweeper_.expires_after(kSweep);
@@ -353,6 +359,12 @@
   accept();
 }
 
+void Clients::drain() {
+  if (draining_since_ == 0) draining_since_ = steady_now();
+}
+
+bool Clients::leaving() const { return draining_since_ != 0 && steady_now() - draining_since_ >= kServeOn; }
+
 void Clients::finish() {
   finishing_ = true;
   boost::system::error_code ignored;
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -30,9 +30,15 @@
   // Takes no new connection and closes those that are open, each only between requests.
   void finish();
 
+  // Says no to PING, and a little later closes connections between requests, while it still listens.
+  void drain();
+  void activate() { draining_since_ = 0; }
+
  private:
   class Session;
 
+  bool leaving() const;  // connections go once they have been answered
+
   void accept();
   bool make_room();
   void sweep();
@@ -46,6 +52,7 @@
   Put put_;
   bool accepting_ = false;
   bool finishing_ = false;
+  Time draining_since_ = 0;            // 0: not draining
   std::array<char, 64 * 1024> bytes_;  // what was read last, of any connection
   std::list<std::shared_ptr<Session>> sessions_;
 };
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -52,6 +52,7 @@
   out.name = root.at("name").get<std::string>();
   out.listen = parse_address(root.at("listen").get<std::string>());
   out.discovery = parse_address(root.at("discovery").get<std::string>());
+  if (root.contains("control")) out.control = parse_address(root.at("control").get<std::string>());
   out.seed = std::stoull(root.at("seed").get<std::string>(), nullptr, 16);
   const json& limits = root.at("limits");
   out.sockets = limits.at("sockets").get<size_t>();
@@ -74,7 +75,11 @@
   const std::string state = needed("PROXY_STATE");
   std::ifstream file(path, std::ios::binary);
   if (!file) throw std::invalid_argument("cannot read " + path);
-  return parse_config({std::istreambuf_iterator<char>(file), {}}, state);
+  Config out = parse_config({std::istreambuf_iterator<char>(file), {}}, state);
+  // First, as it is the process's own: during an upgrade two versions may share a file.
+  const char* control = std::getenv("PROXY_CONTROL");
+  if (control != nullptr && *control != '\0') out.control = parse_address(control);
+  return out;
 }
 
 }  // namespace firspool::relay
--- a/relay/config.h
+++ b/relay/config.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,7 +15,8 @@
   std::string name;
   tcp::endpoint listen;
   tcp::endpoint discovery;
-  std::string state;  // the folder that lasts
+  std::optional<tcp::endpoint> control;  // the operators' address
+  std::string state;                     // the folder that lasts
   uint64_t seed = 0;
   size_t sockets = 1024;
   size_t disk_bytes = 0;
--- /dev/null
+++ b/relay/control.cpp
@@ -0,0 +1,169 @@
+#include "control.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <variant>
+
+namespace firspool::relay {
+namespace {
+
+namespace http = boost::beast::http;
+using Error = boost::system::error_code;
+
+constexpr auto kMostCall = std::chrono::milliseconds(2000);   // from connecting to the call's last byte
+constexpr auto kMostWrite = std::chrono::milliseconds(1000);  // for an answer that is not read
+constexpr auto kLinger = std::chrono::milliseconds(200);      // for the caller's close
+constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+constexpr size_t kMostHead = 8 * 1024;
+constexpr size_t kMostBody = 8 * 1024;  // no call needs one
+
+// The call that a request makes; else the answer to what is none.
+std::variant<OperatorCall, OperatorReply> parse_call(http::verb method, std::string_view target) {
+  using What = OperatorCall::What;
+  constexpr std::string_view kEndpoints = "/v1/endpoints/";
+  const std::string_view path = target.substr(0, target.find('?'));
+  OperatorCall call;
+  if (path == "/v1/readyz") {
+    call.what = What::kReady;
+  } else if (path == "/v1/metrics") {
+    call.what = What::kMetrics;
+  } else if (path == "/v1/relay/drain") {
+    call.what = What::kDrain;
+  } else if (path == "/v1/relay/activate") {
+    call.what = What::kActivate;
+  } else if (path.starts_with(kEndpoints)) {
+    const std::string_view rest = path.substr(kEndpoints.size());
+    const size_t slash = rest.find('/');
+    const std::string_view verb = slash == std::string_view::npos ? "" : rest.substr(slash + 1);
+    if (slash == 0 || (verb != "suspend" && verb != "resume")) return OperatorReply{404, "no such call\n"};
+    call.what = verb == "suspend" ? What::kSuspend : What::kResume;
+    call.id = rest.substr(0, slash);
+  } else {
+    return OperatorReply{404, "no such call\n"};
+  }
+  const bool reads = call.what == What::kReady || call.what == What::kMetrics;
+  if (method != (reads ? http::verb::get : http::verb::post)) {
+    return OperatorReply{405, reads ? "GET only\n" : "POST only\n"};
+  }
+  return call;
+}
+
+int status_of(const Error& error) {
+  if (error == http::error::body_limit) return 413;
+  if (error == http::error::header_limit || error == http::error::buffer_overflow) return 431;
+  return error == boost::beast::error::timeout ? 408 : 400;
+}
+
+}  // namespace
+
+class Control::Caller : public std::enable_shared_from_this<Caller> {
+ public:
+  Caller(Control& owner, tcp::socket socket) : owner_(&owner), stream_(std::move(socket)) {
+    parser_.header_limit(kMostHead);
+    parser_.body_limit(kMostBody);
+  }
+
+  std::list<std::shared_ptr<Caller>>::iterator place;
+
+  void read() {
+    stream_.expires_after(kMostCall);
+    http::async_read(stream_, buffer_, parser_, [self = shared_from_this()](const Error& error, size_t) {
+      if (self->owner_ == nullptr) return;
+      if (!error) return self->answer(self->handled());
+      // A time-out closes the stream, so that nothing can be said any more.
+      if (error == boost::beast::error::timeout || error == http::error::end_of_stream) return self->close();
+      self->answer({status_of(error), "unreadable call\n"});
+    });
+  }
+
+  void close() {
+    Error ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    stream_.close();
+    if (owner_ != nullptr) std::exchange(owner_, nullptr)->callers_.erase(place);
+  }
+
+  void orphan() {
+    owner_ = nullptr;
+    stream_.close();
+  }
+
+ private:
+  OperatorReply handled() const {
+    const auto target = parser_.get().target();
+    const auto call = parse_call(parser_.get().method(), {target.data(), target.size()});
+    if (const auto* reply = std::get_if<OperatorReply>(&call)) return *reply;
+    return owner_->handle_(std::get<OperatorCall>(call));
+  }
+
+  void answer(OperatorReply reply) {
+    answer_.version(11);
+    answer_.result(static_cast<unsigned>(reply.status));
+    answer_.set(http::field::content_type, "text/plain; version=0.0.4");
+    if (reply.status == 405) answer_.set(http::field::allow, reply.body.substr(0, reply.body.find(' ')));
+    answer_.keep_alive(false);
+    answer_.body() = std::move(reply.body);
+    answer_.prepare_payload();
+    stream_.expires_after(kMostWrite);
+    http::async_write(stream_, answer_, [self = shared_from_this()](const Error& error, size_t) {
+      if (self->owner_ == nullptr) return;
+      if (error) return self->close();
+      Error ignored;
+      self->stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+      self->stream_.expires_after(kLinger);
+      self->linger();
+    });
+  }
+
+  // A close with bytes unread would be a reset, which may overtake the answer.
+  void linger() {
+    buffer_.clear();
+    stream_.async_read_some(buffer_.prepare(kMostBody),
+                            [self = shared_from_this()](const Error& error, size_t) {
+                              if (self->owner_ == nullptr) return;
+                              error ? self->close() : self->linger();
+                            });
+  }
+
+  Control* owner_;
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_{kMostHead + kMostBody};
+  http::request_parser<http::string_body> parser_;
+  http::response<http::string_body> answer_;
+};
+
+Control::Control(boost::asio::io_context& io, const tcp::endpoint& listen, Handle handle)
+    : acceptor_(io), pause_(io), handle_(std::move(handle)) {
+  acceptor_.open(listen.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(listen);
+  acceptor_.listen();
+  accept();
+}
+
+Control::~Control() {
+  for (const auto& caller : callers_) caller->orphan();
+}
+
+void Control::accept() {
+  acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) return;
+    if (error) {  // out of descriptors: an accept at once would spin
+      pause_.expires_after(kAcceptPause);
+      pause_.async_wait([this](const Error& stopped) {
+        if (!stopped) accept();
+      });
+      return;
+    }
+    // Callers that say nothing must not shut out one that does.
+    if (callers_.size() >= kMostCallers) std::shared_ptr<Caller>(callers_.front())->close();
+    auto caller = std::make_shared<Caller>(*this, std::move(socket));
+    caller->place = callers_.insert(callers_.end(), caller);
+    caller->read();
+    accept();
+  });
+}
+
+}  // namespace firspool::relay
--- /dev/null
+++ b/relay/control.h
@@ -0,0 +1,51 @@
+// The operators' address: HTTP/1.1, one call per connection. Parses calls and bounds callers; decides
+// nothing.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "directory.h"
+
+namespace firspool::relay {
+
+struct OperatorCall {
+  enum class What { kReady, kMetrics, kSuspend, kResume, kDrain, kActivate };
+  What what = What::kReady;
+  std::string id;  // of the endpoint, where the call names one
+};
+
+struct OperatorReply {
+  int status = 200;
+  std::string body;
+};
+
+class Control {
+ public:
+  using Handle = std::function<OperatorReply(const OperatorCall&)>;
+
+  // Most callers at once. Beyond that the one that has kept its call back for longest goes.
+  static constexpr size_t kMostCallers = 16;
+
+  // Listens at once; throws boost::system::system_error.
+  Control(boost::asio::io_context& io, const tcp::endpoint& listen, Handle handle);
+  ~Control();
+
+  tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+ private:
+  class Caller;
+
+  void accept();
+
+  tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_;
+  Handle handle_;
+  std::list<std::shared_ptr<Caller>> callers_;  // oldest first
+};
+
+}  // namespace firspool::relay
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -38,6 +38,9 @@
     firspool::relay::Relay relay(io, firspool::relay::load_config(), [](const auto& address) {
       std::fprintf(stderr, "listening on %s:%u\n", address.address().to_string().c_str(), address.port());
     });
+    if (const auto control = relay.control_address()) {
+      std::fprintf(stderr, "operators at %s:%u\n", control->address().to_string().c_str(), control->port());
+    }
     await_signal(signals, relay);
     io.run();
     return 0;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -26,8 +26,8 @@
 
 // The descriptors: those of the process itself, clients, and calls with their idle connections. Calls have
 // what they need, then clients, who need a third for requests, half; idle connections what is left.
-constexpr size_t kOwnDescriptors =
-    24;  // standard ones, event loop, signals, listener, journal twice, watches, notices
+// Standard ones, event loop, signals, listeners, journal twice, watches, notices; and operators.
+constexpr size_t kOwnDescriptors = 24 + Control::kMostCallers;
 constexpr size_t kProbes = 8;
 
 size_t most_calls(const Config& config) {
@@ -79,6 +79,9 @@
       open_timer_(io) {
   recall();
   told(config_.known);
+  if (config_.control) {
+    control_.emplace(io_, *config_.control, [this](const OperatorCall& call) { return operate(call); });
+  }
   open_timer_.expires_after(std::chrono::microseconds(kFirstWord));
   open_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) open();
@@ -146,9 +149,37 @@
   clients_.emplace(io_, config_.listen, most_clients(config_), [this](Handed handed, Clients::Answer answer) {
     put(std::move(handed), std::move(answer));
   });
+  if (draining_) clients_->drain();
   listening_(clients_->address());
 }
 
+std::optional<tcp::endpoint> Relay::control_address() const {
+  if (!control_) return {};
+  return control_->address();
+}
+
+OperatorReply Relay::operate(const OperatorCall& call) {
+  switch (call.what) {
+    case OperatorCall::What::kReady:
+      if (!clients_) return {503, "starting\n"};
+      if (stopping_since_ != 0) return {503, "stopping\n"};
+      return draining_ ? OperatorReply{503, "draining\n"} : OperatorReply{200, "ready\n"};
+    case OperatorCall::What::kDrain:
+      draining_ = true;
+      if (clients_) clients_->drain();
+      return {200, "draining\n"};
+    case OperatorCall::What::kActivate:
+      draining_ = false;
+      if (clients_) clients_->activate();
+      return {200, "active\n"};
+    case OperatorCall::What::kMetrics:
+    case OperatorCall::What::kSuspend:
+    case OperatorCall::What::kResume:
+      break;
+  }
+  return {501, "not implemented\n"};
+}
+
 // Messages from before a restart are the module's to decide on, like any other.
 void Relay::resume() {
   const Time now = steady_now();
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -13,6 +13,7 @@
 
 #include "clients.h"
 #include "config.h"
+#include "control.h"
 #include "directory.h"
 #include "discovery.h"
 #include "journal.h"
@@ -33,6 +34,9 @@
   // Planned end: serves a little longer, lets calls finish, and stops the event loop.
   void stop();
 
+  // Where operators call, if anywhere.
+  std::optional<tcp::endpoint> control_address() const;
+
  private:
   struct Held {
     Handed handed;
@@ -45,6 +49,7 @@
     Clients::Answer answer;
   };
 
+  OperatorReply operate(const OperatorCall& call);
   void recall();
   void open();
   void resume();
@@ -94,6 +99,8 @@
   std::function<void(const tcp::endpoint&)> listening_;
   boost::asio::steady_timer open_timer_;
   std::optional<Clients> clients_;  // once what was taken on before is resumed
+  bool draining_ = false;
+  std::optional<Control> control_;
 };
 
 }  // namespace firspool::relay
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -281,7 +281,11 @@
   }
   ::close(pipe[1]);
   log_ = Socket(pipe[0]);
-  const std::string line = log_.line();
+  std::string line = log_.line();
+  if (line.starts_with("operators at ")) {
+    control_port_ = static_cast<uint16_t>(std::stoi(line.substr(line.rfind(':') + 1)));
+    line = log_.line();
+  }
   ASSERT_TRUE(line.starts_with("listening on ")) << line;
   port_ = static_cast<uint16_t>(std::stoi(line.substr(line.rfind(':') + 1)));
   drain_ = std::thread([this] {  // so that a full pipe never stops the program
@@ -292,6 +296,14 @@
   });
 }
 
+std::pair<int, std::string> Program::operate(const std::string& method, const std::string& target) const {
+  Socket socket = operators();
+  socket.send(method + " " + target + " HTTP/1.1\r\nHost: relay\r\nContent-Length: 0\r\n\r\n");
+  const auto answer = read_request(socket);
+  if (!answer || !socket.ended()) return {0, ""};  // one call per connection
+  return {std::stoi(answer->first.substr(answer->first.find(' ') + 1)), answer->body};
+}
+
 void Program::signal(int number) { ::kill(child_, number); }
 
 int Program::wait() {
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -125,11 +125,15 @@
   void kill();
   std::filesystem::path state() const { return folder_ / "state"; }
   Socket client() const { return Socket::connect(port_); }
+  // One call on the operators' address, as it stands in the configuration; the status, and what came with it.
+  std::pair<int, std::string> operate(const std::string& method, const std::string& target) const;
+  Socket operators() const { return Socket::connect(control_port_); }
 
  private:
   std::filesystem::path folder_;
   pid_t child_ = -1;
   uint16_t port_ = 0;
+  uint16_t control_port_ = 0;  // 0: the configuration has none
   Socket log_;
   std::thread drain_;
 };
