--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -44,7 +44,6 @@
   out.connect_timeout = config.settings.connect_timeout;
   out.idle = config.settings.conn_idle;
   out.most_open = config.sockets - kOwnDescriptors - most_clients(config);
-  for (const ClassSettings& c : config.settings.classes) out.most_wait = std::max(out.most_wait, c.give_up);
   return out;
 }
 
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -26,6 +26,7 @@
 constexpr size_t kReadAtOnce = 4 * 1024;
 constexpr Time kRest = 300 * 1000;  // an answer that has begun is whole within this time, or it never will be
 constexpr Time kSettle = 2 * 1000;  // what a host sends behind an answer comes within this time
+constexpr Time kMostWait = 3600 * kSecond;
 constexpr double kMostReported = 1e9;
 constexpr std::string_view kVersion = "HTTP/1.";
 
@@ -57,9 +58,11 @@
   return value;
 }
 
-// A wait that is no number is none; one that outlasts every message is held to that.
-Time parse_wait(std::string_view text, Time most) {
-  return static_cast<Time>(std::ceil(std::min(decimal(text).value_or(0) * 1e6, static_cast<double>(most))));
+// A wait that is no number is none. One that outlasts every message held binds those that come later; a
+// mistaken figure must not bar a host for good.
+Time parse_wait(std::string_view text) {
+  const double most = static_cast<double>(kMostWait);
+  return static_cast<Time>(std::ceil(std::min(decimal(text).value_or(0) * 1e6, most)));
 }
 
 std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
@@ -363,7 +366,7 @@
             for (Part& part : parts_) part.outcome.reset();
             return spoilt();
           }
-          wait_ = parse_wait(view(answer[http::field::retry_after]), owner_->limits_.most_wait);
+          wait_ = parse_wait(view(answer[http::field::retry_after]));
           return finish(Outcome::kOk);
         }
         final_ = true;
@@ -372,7 +375,7 @@
         final_ = true;
         return finish(Outcome::kMoot);
       case 429:
-        wait_ = parse_wait(view(answer[http::field::retry_after]), owner_->limits_.most_wait);
+        wait_ = parse_wait(view(answer[http::field::retry_after]));
         return finish(Outcome::kFull);
       case 503:
         return finish(view(answer["X-Egress-Full"]) == "1" ? Outcome::kMoot : Outcome::kFull);
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -39,7 +39,6 @@
     Time connect_timeout = 0;
     Time idle = 0;           // a host closes a connection that has been idle for so long
     size_t most_open = 256;  // connections, with a call on them or idle
-    Time most_wait = 0;      // a longer told wait is held to this
   };
   // Asked right before a call's first byte, for each message: one that may no longer start ends as kMoot.
   using MayStart = std::function<bool(const Call&)>;
