Take new settings whole at SIGHUP, or not at all

A file that lacks a key of the accepted one, or has a deadline or attempts not above 0, changes nothing. Messages keep the class and attempts they came under; a class that is gone is taken for another 5 s as it was.

--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -27,7 +27,7 @@
   auto operator<=>(const Endpoint&) const = default;
 };
 
-// ---- Settings: told once, at the start ----
+// ---- Settings: told at the start, and by SettingsChanged ----
 
 enum class Effect { kSafe, kKeyed, kUnsafe };  // what a second run of a message would do
 enum class KeyScope { kAll, kZone, kCell };    // which endpoints of a destination drop repeats
@@ -54,6 +54,7 @@
 struct TenantSettings {
   std::string name;
   double quota_per_s = 0;  // rate of all relays together that earns its full worth; 0: no quota
+  bool operator==(const TenantSettings&) const = default;
 };
 
 enum class Weights {
@@ -200,8 +201,14 @@
   Time at = 0;
 };
 
+// New settings hold from here on; messages that arrived before keep their class and attempts. The list's
+// kinds and zones are told anew where they changed.
+struct SettingsChanged {
+  std::shared_ptr<const Settings> settings;
+};
+
 using Event = std::variant<MembersChanged, Arrival, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, PeerNote,
-                           Closing, DestinationMemory>;
+                           Closing, DestinationMemory, SettingsChanged>;
 
 // ---- Actions ----
 
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -1,9 +1,11 @@
 #include "config.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 
 namespace firspool::relay {
@@ -37,8 +39,35 @@
   return value;
 }
 
+// Keys that a class may do without, by its effect or altogether.
+const std::set<std::string> kOptional = {"aim_stretch", "in_order", "key_scope", "key_ttl_s"};
+
+void require_keys(const json& accepted, const json& later, const std::string& path) {
+  if (accepted.is_object()) {
+    if (!later.is_object()) throw std::invalid_argument(path + " is no object");
+    for (const auto& [key, value] : accepted.items()) {
+      if (!later.contains(key)) throw std::invalid_argument(path + "." + key + " is missing");
+      require_keys(value, later.at(key), path + "." + key);
+    }
+  } else if (accepted.is_array()) {
+    if (!later.is_array()) throw std::invalid_argument(path + " is no list");
+    if (accepted.empty() || !accepted.front().is_object()) return;
+    json common = accepted.front();  // of classes and the like each has what all had
+    for (const auto& [key, value] : accepted.front().items()) {
+      const bool everywhere =
+          std::all_of(accepted.begin(), accepted.end(), [&](const json& item) { return item.contains(key); });
+      if (!everywhere || kOptional.contains(key)) common.erase(key);
+    }
+    for (const json& item : later) require_keys(common, item, path);
+  }
+}
+
 }  // namespace
 
+void require_keys(const std::string& accepted, const std::string& later) {
+  require_keys(json::parse(accepted), json::parse(later), "the file");
+}
+
 std::string flatten(const json& settings) {
   std::string out;
   flatten_into(settings, "", out);
@@ -48,6 +77,7 @@
 Config parse_config(const std::string& text, const std::string& state) {
   const json root = json::parse(text);
   Config out;
+  out.text = text;
   out.state = state;
   out.name = root.at("name").get<std::string>();
   out.listen = parse_address(root.at("listen").get<std::string>());
@@ -62,6 +92,12 @@
   out.disk_bytes = static_cast<size_t>(disk_mb * 1e6);
   const json& settings = root.at("settings");
   out.settings = parse_settings(flatten(settings));
+  std::set<std::string> classes;
+  for (const ClassSettings& c : out.settings.classes) {
+    if (c.name.empty() || !classes.insert(c.name).second) {
+      throw std::invalid_argument("a class has no name of its own");
+    }
+  }
   out.names.zones = settings.at("azs").get<std::vector<std::string>>();
   out.names.kinds = settings.at("kinds").get<std::vector<std::string>>();
   const json report = settings.value("telemetry", json::object());
--- a/relay/config.h
+++ b/relay/config.h
@@ -24,6 +24,7 @@
   ListNames names;
   std::vector<std::string> report_fields;
   HostList known;
+  std::string text;  // all of it, as it was read
 };
 
 // The settings as the path=value lines that parse_settings reads.
@@ -33,4 +34,8 @@
 Config parse_config(const std::string& text, const std::string& state);
 Config load_config();
 
+// Throws unless the later file has every key that the accepted one has: one without it was cut or is not
+// whole.
+void require_keys(const std::string& accepted, const std::string& later);
+
 }  // namespace firspool::relay
--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -102,6 +102,14 @@
   return out;
 }
 
+HostList Directory::read_again(const ListNames& names) const {
+  nlohmann::json members = nlohmann::json::array();
+  for (const auto& [handle, host] : hosts_) {
+    if (host.member.listing != Listing::kGone) members.push_back(nlohmann::json::parse(host.text));
+  }
+  return parse_list({{"revision", revision_}, {"complete", false}, {"members", members}}, names);
+}
+
 void Directory::forget(const Endpoint& endpoint) {
   const auto it = hosts_.find(endpoint);
   if (it == hosts_.end()) return;
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -34,6 +34,7 @@
 struct ListNames {
   std::vector<std::string> zones;
   std::vector<std::string> kinds;
+  bool operator==(const ListNames&) const = default;
 };
 
 // "127.0.0.1:80"; throws std::invalid_argument.
@@ -49,6 +50,9 @@
   // was told before: its list then only moves hosts on, and brings none back.
   std::optional<MembersChanged> apply(const HostList& list, Time wall);
 
+  // What is listed, read with other names for zones and kinds.
+  HostList read_again(const ListNames& names) const;
+
   const ListedHost* find(const Endpoint& endpoint) const;
   bool active(const Endpoint& endpoint) const;
   bool known(int destination) const { return destinations_.contains(destination); }  // had a host at any time
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -32,6 +32,7 @@
   ~Watch();
 
   void move(const tcp::endpoint& address);
+  void rename(ListNames names) { names_ = std::move(names); }
 
  private:
   class Stream;
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -10,20 +10,10 @@
 
 namespace {
 
-// A file that cannot be read whole or is not valid changes nothing.
-void reload(firspool::relay::Relay& relay) {
-  try {
-    relay.reload(firspool::relay::load_config());
-    std::fprintf(stderr, "configuration read again\n");
-  } catch (const std::exception& error) {
-    std::fprintf(stderr, "configuration stays as it was: %s\n", error.what());
-  }
-}
-
 void await_signal(boost::asio::signal_set& signals, firspool::relay::Relay& relay) {
   signals.async_wait([&](const boost::system::error_code& error, int number) {
     if (error) return;
-    number == SIGHUP ? reload(relay) : relay.stop();
+    number == SIGHUP ? relay.reload() : relay.stop();
     await_signal(signals, relay);
   });
 }
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -22,6 +22,7 @@
 constexpr Time kStopPoll = 50 * kMs;
 constexpr Time kFirstWord = 300 * kMs;   // discovery answers at once, unless it is down
 constexpr Time kClockSlack = 100 * kMs;  // clients round what they measure
+constexpr Time kRetire = 5000 * kMs;     // longer than any wait after which a refused client comes again
 constexpr Time kTransit = 2 * kMs;       // a message's time runs from its client's sending
 
 // The descriptors: those of the process itself, clients, and calls with their idle connections. Calls have
@@ -223,10 +224,14 @@
     return;
   }
   const int message_class = class_of(handed.message_class);
-  if (message_class < 0) return answer("-ERR unknown class");
+  const auto retired = retired_.find(handed.message_class);
+  const bool recent = retired != retired_.end() && steady_now() < retired->second.until;
+  const bool over = retired != retired_.end() && retired->second.gone && !recent;
+  if (message_class < 0 || over) return answer("-ERR unknown class");
   const ClassSettings& settings = config_.settings.classes[message_class];
+  const Time most_life = recent ? std::max(settings.give_up, retired->second.give_up) : settings.give_up;
   if (settings.effect == Effect::kKeyed && handed.key.empty()) return answer("-ERR no idempotency key");
-  if (handed.life > settings.give_up + kClockSlack) return answer("-ERR d is too long");
+  if (handed.life > most_life + kClockSlack) return answer("-ERR d is too long");
   if (!directory_.known(handed.destination)) return answer("-ERR unknown destination");
   if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) return answer(kBusy);
   const uint64_t number = ++last_number_;
@@ -283,10 +288,52 @@
   forget_gone(endpoint);
 }
 
-void Relay::reload(const Config& config) {
-  config_.discovery = config.discovery;
-  watch_.move(config.discovery);
-  notices_.move(config.discovery);
+void Relay::reload() {
+  try {
+    Config next = load_config();
+    require_keys(config_.text, next.text);
+    retire(next.settings);
+    apply(next);
+    std::fprintf(stderr, "configuration read again\n");
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "configuration stays as it was: %s\n", error.what());
+  }
+}
+
+// A class that is gone stays in the settings for a while, as it was.
+void Relay::retire(Settings& next) {
+  const Time now = steady_now();
+  std::map<std::string, Retired> retired;
+  const size_t named = next.classes.size();
+  for (const ClassSettings& old : config_.settings.classes) {
+    const auto before = retired_.find(old.name);
+    const auto end = next.classes.begin() + static_cast<std::ptrdiff_t>(named);
+    const bool gone =
+        std::none_of(next.classes.begin(), end, [&](const auto& c) { return c.name == old.name; });
+    const bool again = before != retired_.end() && before->second.gone;
+    const Retired entry = gone && again ? before->second : Retired{now + kRetire, old.give_up, gone};
+    if (entry.until <= now) continue;
+    retired[old.name] = entry;
+    if (gone) next.classes.push_back(old);
+  }
+  retired_ = std::move(retired);
+}
+
+void Relay::apply(const Config& next) {
+  const bool renamed = !(next.names == config_.names);
+  config_.discovery = next.discovery;
+  config_.settings = next.settings;
+  config_.names = next.names;
+  config_.report_fields = next.report_fields;
+  config_.text = next.text;
+  happened(SettingsChanged{std::make_shared<const Settings>(next.settings)});
+  upstream_.set(upstream_limits(config_), config_.report_fields);
+  if (renamed) {
+    watch_.rename(config_.names);
+    told(directory_.read_again(config_.names));
+  }
+  watch_.move(config_.discovery);
+  notices_.move(config_.discovery);
 }
 
 std::pair<int, Endpoint> Relay::lane_of(const Member& member) const {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -28,8 +28,9 @@
   Relay(boost::asio::io_context& io, const Config& config,
         std::function<void(const tcp::endpoint&)> listening);
 
-  // Takes the new configuration's discovery over; the rest of it holds from the next start on.
-  void reload(const Config& config);
+  // Takes the new configuration's discovery and settings over; the rest of it holds from the next start on.
+  // Where it cannot be read, or something in it is missing or out of range, all stays as it was.
+  void reload();
 
   // Planned end: serves a little longer, lets calls finish, and stops the event loop.
   void stop();
@@ -44,6 +45,11 @@
     int attempts = 0;
     bool accepted = false;  // its record is written
   };
+  struct Retired {  // a class as it was: clients learn of new settings a little later
+    Time until = 0;
+    Time give_up = 0;
+    bool gone = false;  // it is in the settings only for this
+  };
   struct Pending {  // handed in during this turn, not yet decided on
     uint64_t number = 0;
     Clients::Answer answer;
@@ -56,6 +62,8 @@
   void remember(const DestinationMemory& memory);
   void remember_host(const ListedHost& host);
   void forget_gone(const Endpoint& endpoint);
+  void retire(Settings& next);
+  void apply(const Config& next);
   int class_of(const std::string& name) const;
   int tenant_of(const std::string& name) const;
   void put(Handed handed, Clients::Answer answer);
@@ -75,6 +83,7 @@
 
   boost::asio::io_context& io_;
   Config config_;
+  std::map<std::string, Retired> retired_;
   Directory directory_;
   Journal journal_;
   Policy policy_;
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -467,6 +467,11 @@
   for (const auto& [name, exchange] : exchanges_) exchange->orphan();
 }
 
+void Upstream::set(Limits limits, std::vector<std::string> report_fields) {
+  limits_ = limits;
+  report_fields_ = std::move(report_fields);
+}
+
 void Upstream::call(Call one) { call(std::vector<Call>{std::move(one)}); }
 
 void Upstream::call(std::vector<Call> bundle) {
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -49,6 +49,9 @@
            MayStart may_start, Ended ended, Probed probed);
   ~Upstream();
 
+  // For what starts from now on.
+  void set(Limits limits, std::vector<std::string> report_fields);
+
   void call(Call call);
   // All to one host, in one call: one slot, and one connection. Their bundle lines are kMostBundle at most.
   void call(std::vector<Call> bundle);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -147,6 +147,8 @@
 
 struct Message {
   Arrival in;
+  std::shared_ptr<const ClassSettings> rules;  // as they were when it came
+  int most_attempts = 0;
   Time target = 0;  // until then it earns its full worth
   double worth = 0;
   int attempts = 0;
@@ -222,10 +224,7 @@
 
 class Policy::Impl {
  public:
-  Impl(Settings settings, uint64_t seed) : set_(std::move(settings)), random_(seed) {
-    if (set_.classes.empty()) throw std::invalid_argument("settings hold no class");
-    for (const ClassSettings& c : set_.classes) longest_ = std::max(longest_, c.give_up);
-  }
+  Impl(Settings settings, uint64_t seed) : random_(seed) { take(std::move(settings)); }
 
   void step(Time now, std::span<const Event> events, std::vector<Action>& actions) {
     if (now < now_) throw std::invalid_argument("time goes back");
@@ -248,6 +247,23 @@
   }
 
  private:
+  void take(Settings settings) {
+    if (settings.classes.empty()) throw std::invalid_argument("settings hold no class");
+    if (settings.tenants != set_.tenants) tenant_pacers_.clear();
+    set_ = std::move(settings);
+    classes_.clear();
+    longest_ = kSecond;
+    for (const ClassSettings& c : set_.classes) {
+      classes_.push_back(std::make_shared<const ClassSettings>(c));
+      longest_ = std::max(longest_, c.give_up);
+    }
+  }
+
+  void fold(const SettingsChanged& e) {
+    take(*e.settings);
+    for (const auto& [endpoint, host] : hosts_) admit(Member(host.member));
+  }
+
   // ---- Health ----
 
   void fold(const MembersChanged& e) {
@@ -266,21 +282,23 @@
       }
     }
     if (!e.members) return;
-    for (const Member& m : *e.members) {
-      Host& host = hosts_[m.endpoint];
-      host.member = m;
-      host.lane = &lane_of(m);
-      host.ready = m.listing == Listing::kReady;
-      host.gone = m.listing == Listing::kGone;
-      if (host.gone) leaving_.insert(m.endpoint);
-      by_destination_[m.destination][m.endpoint] = &host;
-      auto [place, fresh] = destinations_.try_emplace(m.destination);
-      Destination& d = place->second;
-      d.kind = m.kind;
-      d.cap = kBucketCap * batch_of(m);
-      if (fresh) d.remembered = {m.destination, d.tokens = d.cap};
-      if (set_.weights != Weights::kNone && m.weight > 0 && host.ready) host.lane->limit = m.weight;
-    }
+    for (const Member& m : *e.members) admit(m);
+  }
+
+  void admit(const Member& m) {
+    Host& host = hosts_[m.endpoint];
+    host.member = m;
+    host.lane = &lane_of(m);
+    host.ready = m.listing == Listing::kReady;
+    host.gone = m.listing == Listing::kGone;
+    if (host.gone) leaving_.insert(m.endpoint);
+    by_destination_[m.destination][m.endpoint] = &host;
+    auto [place, fresh] = destinations_.try_emplace(m.destination);
+    Destination& d = place->second;
+    d.kind = m.kind;
+    d.cap = kBucketCap * batch_of(m);
+    if (fresh) d.remembered = {m.destination, d.tokens = d.cap};
+    if (set_.weights != Weights::kNone && m.weight > 0 && host.ready) host.lane->limit = m.weight;
   }
 
   // What is gone and has nothing out is of no use any more. Guards against growth: ids are ever new.
@@ -305,9 +323,11 @@
     }
     if (messages_.contains(e.id))
       throw std::invalid_argument("message " + std::to_string(e.id) + " came twice");
-    const ClassSettings& c = set_.classes[e.message_class];
     Message& m = messages_[e.id];
     m.in = e;
+    m.rules = classes_[e.message_class];
+    m.most_attempts = set_.max_attempts;
+    const ClassSettings& c = *m.rules;
     m.target = e.due - c.give_up + c.target;
     m.worth = c.worth * tenant_share(e.tenant);
     m.attempts = e.attempts;
@@ -399,7 +419,7 @@
     m.out = false;
     const bool hanging =
         e.outcome == Outcome::kTimeout || e.outcome == Outcome::kReset || e.outcome == Outcome::kCancelled;
-    if (set_.classes[m.in.message_class].in_order && hanging) {
+    if (m.rules->in_order && hanging) {
       key_rests_[m.in.key] = {now_ + set_.order_pause, e.id};
     }
     if (e.final || m.withdrawn) return end(e.id);
@@ -716,7 +736,7 @@
     const auto it = messages_.find(id);
     if (it == messages_.end()) return;
     const Arrival& in = it->second.in;
-    if (set_.classes[in.message_class].in_order && in.key != 0) {
+    if (it->second.rules->in_order && in.key != 0) {
       std::erase(turns_[in.key], id);
       if (turns_[in.key].empty()) turns_.erase(in.key);
     }
@@ -724,7 +744,7 @@
   }
 
   bool refusable(const Message& m) const {
-    const ClassSettings& c = set_.classes[m.in.message_class];
+    const ClassSettings& c = *m.rules;
     if (c.effect == Effect::kSafe || !m.ran) return true;
     if (m.resumed_ran) return false;  // its outcome is lost: a client's retry might outlast the key
     return c.effect == Effect::kKeyed && c.key_scope == KeyScope::kAll;
@@ -732,14 +752,12 @@
 
   // Whether another attempt may ever be made.
   bool hopeless(const Message& m) const {
-    const ClassSettings& c = set_.classes[m.in.message_class];
+    const ClassSettings& c = *m.rules;
     const bool closed = c.effect == Effect::kKeyed && now_ >= window_end(m);
-    return m.attempts >= set_.max_attempts || (m.ran && (c.effect == Effect::kUnsafe || closed));
+    return m.attempts >= m.most_attempts || (m.ran && (c.effect == Effect::kUnsafe || closed));
   }
 
-  Time window_end(const Message& m) const {
-    return m.ran_sent + set_.classes[m.in.message_class].key_window - set_.tick;
-  }
+  Time window_end(const Message& m) const { return m.ran_sent + m.rules->key_window - set_.tick; }
 
   Time last_moment(const Message& m) const { return m.in.due - 2 * set_.tick; }
 
@@ -796,7 +814,7 @@
   // ---- Ordering ----
 
   double worth_at(const Message& m, Time at) const {
-    const ClassSettings& c = set_.classes[m.in.message_class];
+    const ClassSettings& c = *m.rules;
     if (at <= m.target) return m.worth;
     if (at >= m.in.due) return 0;
     const double late = seconds(at - m.target);
@@ -805,7 +823,7 @@
   }
 
   bool has_turn(const Message& m) {
-    if (!set_.classes[m.in.message_class].in_order || m.in.key == 0) return true;
+    if (!m.rules->in_order || m.in.key == 0) return true;
     if (turns_[m.in.key].front() != m.in.id) return false;
     const auto rest = key_rests_.find(m.in.key);
     if (rest == key_rests_.end() || rest->second.second == m.in.id) return true;
@@ -908,7 +926,7 @@
 
   // A keyed message that may have run stays with the endpoints that remember its key.
   bool in_scope(const Message& m, const Host& host) const {
-    const ClassSettings& c = set_.classes[m.in.message_class];
+    const ClassSettings& c = *m.rules;
     if (!m.ran || c.effect != Effect::kKeyed) return true;
     if (c.key_scope == KeyScope::kCell) return host.member.destination == m.in.destination;
     return c.key_scope == KeyScope::kAll || host.member.zone == m.ran_zone;
@@ -947,9 +965,7 @@
     return cost;
   }
 
-  double patience(const Message& m) const {
-    return set_.classes[m.in.message_class].effect == Effect::kUnsafe ? kUnsafeTimes : 1;
-  }
+  double patience(const Message& m) const { return m.rules->effect == Effect::kUnsafe ? kUnsafeTimes : 1; }
 
   Time timeout_of(const Message& m, const Destination& d) {
     // No call keeps its slot for the whole life of its message: lost answers would fill the slots one by one.
@@ -981,7 +997,7 @@
     ++calls_[last_call_].left;
     attempts_[{m.in.id, m.attempts++}] = {host.member.endpoint, now_, last_call_, false, scout, idle_};
     Send out{m.in.id, host.member.endpoint, timeout_of(m, d)};
-    const bool window = m.ran && set_.classes[m.in.message_class].effect == Effect::kKeyed;
+    const bool window = m.ran && m.rules->effect == Effect::kKeyed;
     if (window) out.start_by = window_end(m) - kWindowMargin;
     out_->push_back(out);
   }
@@ -1006,6 +1022,7 @@
   }
 
   Settings set_;
+  std::vector<std::shared_ptr<const ClassSettings>> classes_;
   Random random_;
   Time now_ = std::numeric_limits<Time>::min();
   Time started_ = kNever;  // when the first step was
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -122,6 +122,8 @@
   out.in_order = facts.flag(at + "in_order", false);
   out.target = facts.time(at + "target_s");
   out.give_up = facts.time(at + "give_up_s");
+  if (out.target == 0) Facts::unreadable(at + "target_s");
+  if (out.give_up == 0) Facts::unreadable(at + "give_up_s");
   out.worth = facts.number(at + "worth", 1.0);
   out.late_worth = facts.number(at + "late_worth", 0.0);
   return out;
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -158,5 +158,98 @@
   EXPECT_EQ(s.put("a1", facts("safe")), "+OK");
 }
 
+// ---- New settings ----
+
+// Waits until a class is taken or not: a signal arrives some time after it is sent.
+void await_class(Operated& s, const std::string& name, bool taken) {
+  Socket client = s.program->client();
+  for (int i = 0;; ++i) {
+    client.send(put_bytes(name + std::to_string(i), facts(name, 99)));
+    if ((client.line() == "+OK") == taken) return;
+  }
+}
+
+TEST(NewSettings, AddAClassThatClientsCanUseAtOnce) {
+  Operated s;
+  s.start();
+  EXPECT_NE(s.put("a1", facts("fresh")), "+OK");
+  auto fresh = s.config["settings"]["categories"][2];  // unsafe: it has no second try
+  fresh["name"] = "fresh";
+  for (const char* key : {"key_scope", "key_ttl_s"}) fresh.erase(key);
+  s.config["settings"]["categories"].push_back(fresh);
+  s.program->configure(s.config.dump());
+  s.program->signal(SIGHUP);
+  await_class(s, "fresh", true);
+  EXPECT_EQ(s.put("a2", facts("fresh")), "+OK");
+  EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a2");
+  s.host.reset();
+  EXPECT_EQ(s.discovery.notice().at("id"), "a2");
+}
+
+TEST(NewSettings, TakeARemovedClassForAWhileAndThenNoMore) {
+  Operated s;
+  s.start();
+  s.config["settings"]["categories"].erase(0);
+  auto shorter = s.config;
+  shorter["settings"]["categories"][0]["give_up_s"] = 1.0;  // keyed
+  shorter["settings"]["bounds"]["open_cap"] = 1000;
+  s.program->configure(shorter.dump());
+  s.program->signal(SIGHUP);
+  EXPECT_EQ(s.put("a1", facts("safe")), "+OK");
+  EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a1");
+  s.host.answer("200");
+  EXPECT_EQ(s.put("a2", facts("keyed")), "+OK");  // with the deadline that its client knows
+  EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a2");
+  s.host.answer("200");
+  Socket client = s.program->client();
+  for (int i = 0; i >= 0; i = client.line() == "-ERR unknown class" ? -1 : i + 1) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    client.send(put_bytes("b" + std::to_string(i), facts("safe", 99, 100)));
+  }
+  client.send(put_bytes("a3", facts("keyed")));
+  EXPECT_TRUE(client.line().starts_with("-ERR"));
+}
+
+TEST(NewSettings, AreNotTakenInPart) {
+  Operated s;
+  s.start();
+  s.config["settings"]["categories"][0]["name"] = "fresh";
+  std::vector<std::string> broken = {"", "{", s.config.dump().substr(0, s.config.dump().size() / 2)};
+  const std::vector<std::pair<std::string, nlohmann::json>> bad = {
+      {"/settings/bounds/max_attempts", 0},
+      {"/settings/bounds/max_attempts", -1},
+      {"/settings/categories/1/give_up_s", 0},
+      {"/settings/categories/1/give_up_s", -3.0},
+      {"/settings/categories/1/target_s", 0.0},
+      {"/settings/categories/1/give_up_s", "soon"},
+      {"/settings/categories/1/semantics", "some"},
+      {"/settings/categories/1/name", "fresh"},
+      {"/settings/categories", nlohmann::json::array()}};
+  for (const auto& [path, value] : bad) {
+    nlohmann::json text = s.config;
+    text[nlohmann::json::json_pointer(path)] = value;
+    broken.push_back(text.dump());
+  }
+  for (const char* path :
+       {"/settings", "/limits", "/discovery", "/settings/bounds", "/settings/obligations/cold_s",
+        "/settings/bounds/conn_idle_s", "/settings/categories/1/worth", "/known",
+        "/settings/categories/1/key_ttl_s", "/settings/categories/1/give_up_s"}) {
+    const nlohmann::json::json_pointer at(path);
+    nlohmann::json text = s.config;
+    text[at.parent_pointer()].erase(at.back());
+    broken.push_back(text.dump());
+  }
+  for (const std::string& text : broken) {
+    s.program->configure(text);
+    s.program->signal(SIGHUP);
+    // Its log says so; the class of the file stays unknown.
+    ASSERT_TRUE(s.program->logged("configuration stays as it was")) << text;
+    EXPECT_NE(s.put("a1", facts("fresh")), "+OK") << text;
+  }
+  s.program->configure(s.config.dump());
+  s.program->signal(SIGHUP);
+  await_class(s, "fresh", true);
+}
+
 }  // namespace
 }  // namespace firspool::testing
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -290,8 +290,15 @@
   port_ = static_cast<uint16_t>(std::stoi(line.substr(line.rfind(':') + 1)));
   drain_ = std::thread([this] {  // so that a full pipe never stops the program
     char bytes[4096];
+    std::string text;
     for (ssize_t got = 0; (got = ::read(log_.fd(), bytes, sizeof bytes)) > 0;) {
       if (::write(2, bytes, static_cast<size_t>(got)) < 0) return;
+      text.append(bytes, static_cast<size_t>(got));
+      const std::lock_guard lock(mutex_);
+      for (size_t end = 0; (end = text.find('\n')) != std::string::npos; text.erase(0, end + 1)) {
+        lines_.push_back(text.substr(0, end));
+      }
+      changed_.notify_all();
     }
   });
 }
@@ -304,6 +311,17 @@
   return {std::stoi(answer->first.substr(answer->first.find(' ') + 1)), answer->body};
 }
 
+bool Program::logged(const std::string& start) {
+  std::unique_lock lock(mutex_);
+  const auto there = [&] {
+    while (!lines_.empty() && !lines_.front().starts_with(start)) lines_.pop_front();
+    return !lines_.empty();
+  };
+  if (!changed_.wait_for(lock, std::chrono::milliseconds(kDeadlineMs), there)) return false;
+  lines_.pop_front();
+  return true;
+}
+
 void Program::signal(int number) { ::kill(child_, number); }
 
 int Program::wait() {
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <filesystem>
 #include <map>
 #include <mutex>
@@ -128,6 +129,7 @@
   // One call on the operators' address, as it stands in the configuration; the status, and what came with it.
   std::pair<int, std::string> operate(const std::string& method, const std::string& target) const;
   Socket operators() const { return Socket::connect(control_port_); }
+  bool logged(const std::string& start);  // waits for a line that begins so, behind those asked for before
 
  private:
   std::filesystem::path folder_;
@@ -135,6 +137,9 @@
   uint16_t port_ = 0;
   uint16_t control_port_ = 0;  // 0: the configuration has none
   Socket log_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::deque<std::string> lines_;  // of its log, not asked for yet
   std::thread drain_;
 };
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -813,5 +813,54 @@
   EXPECT_LE(refused[0].retry_after, kSecond);
 }
 
+// ---- New settings ----
+
+TEST(NewSettings, LeaveOpenMessagesTheirOldRules) {
+  Settings s = plain_settings();
+  s.max_attempts = 3;
+  Policy policy(s, 1);
+  std::vector<Action> actions;
+  const auto step = [&](Time now, const std::vector<Event>& events) {
+    actions.clear();
+    policy.step(now, events, actions);
+    return all_of<Send>(actions);
+  };
+  const auto message = [](uint64_t id) {
+    Arrival out;
+    out.id = id;
+    out.destination = 1;
+    out.due = 20 * kSecond;
+    return out;
+  };
+  const auto old = step(0, {members({member(1)}), message(1)});
+  ASSERT_EQ(old.size(), 1u);
+  s.max_attempts = 1;
+  s.classes = {s.classes[1]};  // unsafe
+  const auto fresh = step(1000, {SettingsChanged{std::make_shared<const Settings>(s)}, message(2)});
+  ASSERT_EQ(fresh.size(), 1u);
+  // What came under the new settings may not go out again after an error; the other may, twice.
+  step(2000, {ended(old[0], 0, Outcome::kError), ended(fresh[0], 0, Outcome::kError)});
+  EXPECT_EQ(all_of<Fail>(actions).size(), 1u);
+  EXPECT_EQ(all_of<Fail>(actions).at(0).id, 2u);
+  for (int attempt = 1; attempt < 3; ++attempt) {
+    const auto again = step(attempt * kSecond, {});
+    ASSERT_EQ(again.size(), 1u) << attempt;
+    EXPECT_EQ(again[0].id, 1u);
+    step(attempt * kSecond + 1000, {ended(again[0], attempt, Outcome::kError)});
+  }
+  EXPECT_EQ(all_of<Refuse>(actions).size(), 1u);
+}
+
+TEST(NewSettings, RefuseAMessageOfAClassThatIsGone) {
+  Settings s = plain_settings();
+  Policy policy(s, 1);
+  std::vector<Action> actions;
+  s.classes.resize(1);
+  policy.step(0, std::vector<Event>{SettingsChanged{std::make_shared<const Settings>(s)}}, actions);
+  Arrival late;
+  late.message_class = 1;
+  EXPECT_THROW(policy.step(1, std::vector<Event>{late}, actions), std::invalid_argument);
+}
+
 }  // namespace
 }  // namespace firspool::testing
