--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -272,6 +272,9 @@
 
   void step(Time now, std::span<const Event> events, std::vector<Action>& actions);
 
+  // Ready endpoints that are passed over now, or sent to only to look whether they are back.
+  size_t avoided(Time now) const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- /dev/null
+++ b/relay/figures.cpp
@@ -0,0 +1,48 @@
+#include "figures.h"
+
+#include <string_view>
+
+namespace firspool::relay {
+namespace {
+
+std::string label(std::string_view value) {
+  std::string out;
+  for (const char c : value) {
+    if (c == '\\' || c == '"') out += '\\';
+    out += c == '\n' ? std::string("\\n") : std::string(1, c);
+  }
+  return out;
+}
+
+void type(std::string& out, const std::string& name, const char* kind) {
+  out += "# TYPE proxy_" + name + " " + kind + "\n";
+}
+
+}  // namespace
+
+std::string Figures::text() const {
+  std::string out;
+  const auto by_class = [&](const std::string& name, uint64_t ClassFigures::*figure) {
+    type(out, name, "counter");
+    for (const auto& [message_class, figures] : classes) {
+      out += "proxy_" + name + "{type=\"" + label(message_class) + "\"} " + std::to_string(figures.*figure) +
+             "\n";
+    }
+  };
+  const auto one = [&](const std::string& name, const char* kind, uint64_t value) {
+    type(out, name, kind);
+    out += "proxy_" + name + " " + std::to_string(value) + "\n";
+  };
+  by_class("success_total", &ClassFigures::success);
+  by_class("overload_total", &ClassFigures::overload);
+  by_class("error_total", &ClassFigures::error);
+  one("dispatches_total", "counter", dispatches);
+  one("concurrent", "gauge", concurrent);
+  one("targets", "gauge", targets);
+  one("targets_disabled", "gauge", targets_disabled);
+  one("reload_success_total", "counter", reload_success);
+  one("reload_failure_total", "counter", reload_failure);
+  return out;
+}
+
+}  // namespace firspool::relay
--- /dev/null
+++ b/relay/figures.h
@@ -0,0 +1,29 @@
+// What operators see of the relay, in the Prometheus text format. Totals count from the start of the process.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace firspool::relay {
+
+struct ClassFigures {
+  uint64_t success = 0;   // delivered
+  uint64_t overload = 0;  // refused or handed back
+  uint64_t error = 0;     // failed
+};
+
+struct Figures {
+  std::map<std::string, ClassFigures> classes;
+  uint64_t dispatches = 0;  // messages written whole to endpoints
+  uint64_t reload_success = 0;
+  uint64_t reload_failure = 0;
+  size_t concurrent = 0;        // messages taken but not ended
+  size_t targets = 0;           // endpoints listed
+  size_t targets_disabled = 0;  // and of these avoided now
+
+  std::string text() const;
+};
+
+}  // namespace firspool::relay
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -14,7 +14,8 @@
 const std::string kRevision = "revision";
 const std::string kDestinations = "destinations";
 
-const std::string kBusy = "-BUSY 500";  // no room: some messages end within that time
+const std::string kRefused = "-BUSY";
+const std::string kBusy = kRefused + " 500";  // no room: some messages end within that time
 
 constexpr Time kMs = 1000;
 constexpr Time kServeOn = 500 * kMs;    // after SIGTERM: new connections still come for a while
@@ -158,6 +159,20 @@
   return control_->address();
 }
 
+Figures Relay::figures() const {
+  Figures out = counted_;
+  for (const ClassSettings& c : config_.settings.classes) out.classes.try_emplace(c.name);
+  out.dispatches = upstream_.written();
+  out.concurrent = static_cast<size_t>(
+      std::count_if(held_.begin(), held_.end(), [](const auto& held) { return held.second.accepted; }));
+  const auto& hosts = directory_.hosts();
+  out.targets = static_cast<size_t>(std::count_if(hosts.begin(), hosts.end(), [](const auto& host) {
+    return host.second.member.listing != Listing::kGone;
+  }));
+  out.targets_disabled = policy_.avoided(steady_now());
+  return out;
+}
+
 OperatorReply Relay::operate(const OperatorCall& call) {
   switch (call.what) {
     case OperatorCall::What::kReady:
@@ -173,6 +188,7 @@
       if (clients_) clients_->activate();
       return {200, "active\n"};
     case OperatorCall::What::kMetrics:
+      return {200, figures().text()};
     case OperatorCall::What::kSuspend:
     case OperatorCall::What::kResume:
       break;
@@ -232,8 +248,15 @@
   const Time most_life = recent ? std::max(settings.give_up, retired->second.give_up) : settings.give_up;
   if (settings.effect == Effect::kKeyed && handed.key.empty()) return answer("-ERR no idempotency key");
   if (handed.life > most_life + kClockSlack) return answer("-ERR d is too long");
-  if (!directory_.known(handed.destination)) return answer("-ERR unknown destination");
-  if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) return answer(kBusy);
+  ClassFigures& figures = counted_.classes[handed.message_class];
+  if (!directory_.known(handed.destination)) {
+    ++figures.error;
+    return answer("-ERR unknown destination");
+  }
+  if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) {
+    ++figures.overload;
+    return answer(kBusy);
+  }
   const uint64_t number = ++last_number_;
   Arrival in;
   in.id = number;
@@ -294,8 +317,10 @@
     require_keys(config_.text, next.text);
     retire(next.settings);
     apply(next);
+    ++counted_.reload_success;
     std::fprintf(stderr, "configuration read again\n");
   } catch (const std::exception& error) {
+    ++counted_.reload_failure;
     std::fprintf(stderr, "configuration stays as it was: %s\n", error.what());
   }
 }
@@ -364,6 +389,7 @@
   }
   if (held != held_.end()) {
     if (end.final) {
+      if (end.outcome == Outcome::kOk) ++counted_.classes[held->second.handed.message_class].success;
       finish(end.id, {});
     } else if (began && never) {
       journal_.never_ran(held->second.handed.id, end.attempt);
@@ -400,7 +426,7 @@
     for (const Action& action : actions) {
       if (const auto* refuse = std::get_if<Refuse>(&action)) {
         const Time ms = (refuse->retry_after + kMs - 1) / kMs;
-        turned_away[refuse->id] = ms > 0 ? "-BUSY " + std::to_string(ms) : "-BUSY";
+        turned_away[refuse->id] = ms > 0 ? kRefused + " " + std::to_string(ms) : kRefused;
       } else if (const auto* fail = std::get_if<Fail>(&action)) {
         turned_away[fail->id] = "-ERR failed";
       }
@@ -414,12 +440,15 @@
     const auto held = held_.find(item.number);
     if (fresh && held != held_.end()) {
       const Handed& handed = held->second.handed;
+      ClassFigures& figures = counted_.classes[handed.message_class];
       if (const auto away = turned_away.find(item.number); away != turned_away.end()) {
         line->second = away->second;
+        ++(line->second.starts_with(kRefused) ? figures.overload : figures.error);
       } else if (journal_.accepted(handed, wall_now() + held->second.due - steady_now())) {
         held->second.accepted = true;
       } else {
         line->second = kBusy;  // no room on the disk
+        ++figures.overload;
         happened(Withdrawn{item.number});
       }
       if (!held->second.accepted) {
@@ -500,6 +529,8 @@
 void Relay::finish(uint64_t number, std::optional<Notice> notice) {
   const auto held = held_.find(number);
   if (notice) {
+    ClassFigures& figures = counted_.classes[held->second.handed.message_class];
+    ++(notice->returned ? figures.overload : figures.error);
     journal_.owed(*notice);
     notices_.add(std::move(*notice));
   } else {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -16,6 +16,7 @@
 #include "control.h"
 #include "directory.h"
 #include "discovery.h"
+#include "figures.h"
 #include "journal.h"
 #include "upstream.h"
 
@@ -55,6 +56,7 @@
     Clients::Answer answer;
   };
 
+  Figures figures() const;
   OperatorReply operate(const OperatorCall& call);
   void recall();
   void open();
@@ -109,6 +111,7 @@
   boost::asio::steady_timer open_timer_;
   std::optional<Clients> clients_;  // once what was taken on before is resumed
   bool draining_ = false;
+  Figures counted_;  // what is counted here; the rest is looked up
   std::optional<Control> control_;
 };
 
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -251,7 +251,9 @@
       request_.set("X-Budget", std::to_string(left) + "m");
       request_.prepare_payload();
     }
-    http::async_write(socket_, request_, [self = shared_from_this()](const Error& error, size_t) {
+    const size_t count = probe_ ? 0 : going.size();
+    http::async_write(socket_, request_, [self = shared_from_this(), count](const Error& error, size_t) {
+      if (!error && self->owner_ != nullptr) self->owner_->written_ += count;
       if (self->over_) return;
       if (error) return self->finish(Outcome::kConnectFailed);
       self->written_ = true;
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -60,6 +60,7 @@
   void probe(const Endpoint& endpoint, const tcp::endpoint& address);
   void close_idle(const Endpoint& endpoint);
   size_t out() const { return exchanges_.size(); }
+  uint64_t written() const { return written_; }
 
  private:
   class Exchange;
@@ -82,6 +83,7 @@
   Probed probed_;
   boost::asio::steady_timer sweeper_;
   uint64_t last_probe_ = 0;
+  uint64_t written_ = 0;  // messages, whole
   size_t idle_count_ = 0;
   std::map<Endpoint, std::vector<Idle>> idle_;  // the most recently used last
   std::map<std::tuple<bool, uint64_t, int>, std::shared_ptr<Exchange>> exchanges_;  // by their first message
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -246,6 +246,13 @@
     arm();
   }
 
+  size_t avoided(Time now) const {
+    return static_cast<size_t>(std::count_if(hosts_.begin(), hosts_.end(), [now](const auto& entry) {
+      const Host& h = entry.second;
+      return h.ready && (h.avoid_until > now || (h.lane->out_since != 0 && h.lane->back_since == 0));
+    }));
+  }
+
  private:
   void take(Settings settings) {
     if (settings.classes.empty()) throw std::invalid_argument("settings hold no class");
@@ -1061,6 +1068,8 @@
 Policy::Policy(Policy&&) noexcept = default;
 Policy& Policy::operator=(Policy&&) noexcept = default;
 
+size_t Policy::avoided(Time now) const { return impl_->avoided(now); }
+
 void Policy::step(Time now, std::span<const Event> events, std::vector<Action>& actions) {
   impl_->step(now, events, actions);
 }
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -1,6 +1,7 @@
 // What operators can ask of the running program, over loopback sockets.
 #include <csignal>
 #include <fstream>
+#include <sstream>
 
 #include "peers.h"
 
@@ -158,6 +159,111 @@
   EXPECT_EQ(s.put("a1", facts("safe")), "+OK");
 }
 
+// ---- Figures ----
+
+// Until a figure has the value: what it counts is over only after the peer has seen it. The last text.
+std::string await_figure(Operated& s, const std::string& line) {
+  for (int i = 0; i < kDeadlineMs / 10; ++i) {
+    const auto [status, text] = s.program->operate("GET", "/v1/metrics");
+    EXPECT_EQ(status, 200);
+    if (text.find("\n" + line + "\n") != std::string::npos) return text;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  ADD_FAILURE() << "never: " << line;
+  return s.program->operate("GET", "/v1/metrics").second;
+}
+
+std::map<std::string, int> numbers(const std::string& text) {
+  std::map<std::string, int> out;
+  for (std::istringstream in(text); in.good();) {
+    std::string line;
+    std::getline(in, line);
+    if (!line.empty() && line[0] != '#') {
+      out[line.substr(0, line.find(' '))] = std::stoi(line.substr(line.find(' ')));
+    }
+  }
+  return out;
+}
+
+TEST(Figures, StartAtZeroForEachClass) {
+  Operated s;
+  s.config["settings"]["categories"][0]["name"] = "a\"b\\c";
+  s.start();
+  const auto found = numbers(s.program->operate("GET", "/v1/metrics").second);
+  const std::map<std::string, int> want = {{"proxy_success_total{type=\"a\\\"b\\\\c\"}", 0},
+                                           {"proxy_success_total{type=\"keyed\"}", 0},
+                                           {"proxy_success_total{type=\"unsafe\"}", 0},
+                                           {"proxy_overload_total{type=\"a\\\"b\\\\c\"}", 0},
+                                           {"proxy_overload_total{type=\"keyed\"}", 0},
+                                           {"proxy_overload_total{type=\"unsafe\"}", 0},
+                                           {"proxy_error_total{type=\"a\\\"b\\\\c\"}", 0},
+                                           {"proxy_error_total{type=\"keyed\"}", 0},
+                                           {"proxy_error_total{type=\"unsafe\"}", 0},
+                                           {"proxy_dispatches_total", 0},
+                                           {"proxy_concurrent", 0},
+                                           {"proxy_targets", 2},
+                                           {"proxy_targets_disabled", 0},
+                                           {"proxy_reload_success_total", 0},
+                                           {"proxy_reload_failure_total", 0}};
+  EXPECT_EQ(found, want);
+}
+
+TEST(Figures, CountEachEndOfAMessageOnce) {
+  Operated s;
+  s.config["settings"]["bounds"]["open_cap"] = 4;
+  s.start();
+  EXPECT_EQ(s.put("a1", facts("safe")), "+OK");
+  s.host.next();
+  s.host.answer("503");
+  EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a1");  // once more
+  s.host.answer("200");
+  await_figure(s, "proxy_success_total{type=\"safe\"} 1");
+  EXPECT_EQ(s.put("a2", facts("unsafe")), "+OK");
+  s.host.next();
+  s.host.reset();
+  await_figure(s, "proxy_error_total{type=\"unsafe\"} 1");
+  EXPECT_EQ(s.put("a3", facts("keyed", 99, 200)), "+OK");  // given back at its end
+  EXPECT_EQ(s.discovery.notice().at("id"), "a2");
+  EXPECT_EQ(s.discovery.notice().at("state"), "returned");
+  EXPECT_EQ(s.put("a4", facts("keyed", 55)), "-ERR unknown destination");
+  EXPECT_EQ(s.put("a5", facts("keyed", 99)), "+OK");
+  EXPECT_EQ(s.put("a5", facts("keyed", 99)), "+OK");  // sent once more
+  EXPECT_EQ(s.put("a6", facts("nosuch", 99)), "-ERR unknown class");
+  for (int i = 0; i < 4; ++i) s.put("b" + std::to_string(i), facts("keyed", 99));
+  const auto found = numbers(await_figure(s, "proxy_overload_total{type=\"keyed\"} 3"));
+  EXPECT_EQ(found.at("proxy_concurrent"), 3);
+  EXPECT_EQ(found.at("proxy_dispatches_total"), 3);
+  EXPECT_EQ(found.at("proxy_success_total{type=\"safe\"}"), 1);
+  EXPECT_EQ(found.at("proxy_error_total{type=\"keyed\"}"), 1);
+  EXPECT_EQ(found.at("proxy_error_total{type=\"unsafe\"}"), 1);
+  EXPECT_EQ(found.at("proxy_overload_total{type=\"safe\"}"), 0);
+  EXPECT_FALSE(found.contains("proxy_error_total{type=\"nosuch\"}"));
+}
+
+TEST(Figures, CountTheMessagesOfABundleAndReloads) {
+  Operated s;
+  s.config["settings"]["family_info"]["calls_out"] = 1;
+  s.config["settings"]["family_info"]["kind_batch"] = {3};
+  s.start();
+  Socket client = s.program->client();
+  for (const std::string id : {"a1", "a2", "a3"}) {
+    client.send(put_bytes(id, facts("keyed")));
+    EXPECT_EQ(client.line(), "+OK");
+  }
+  s.host.next();
+  s.host.answer("200");
+  s.host.next();
+  await_figure(s, "proxy_dispatches_total 3");
+  s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 8)}));
+  await_figure(s, "proxy_targets 3");
+  s.program->signal(SIGHUP);
+  await_figure(s, "proxy_reload_success_total 1");
+  s.program->configure("");
+  s.program->signal(SIGHUP);
+  await_figure(s, "proxy_reload_failure_total 1");
+  await_figure(s, "proxy_reload_success_total 1");
+}
+
 // ---- New settings ----
 
 // Waits until a class is taken or not: a signal arrives some time after it is sent.
