Hand over to a new version under load: folder, connections, and ends of calls

A new process asks the owner of the state folder over a local socket and gets lock, listener and client connections as descriptors. Calls that are out stay with the old process, which reports their ends and goes.

--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <variant>
@@ -141,6 +142,13 @@
   bool ran = false;   // an attempt may have run
   Time ran_sent = 0;  // when the first such attempt was sent
   int ran_zone = 0;
+  // Of one whose newest attempt is still out in the process before: it ends by AttemptEnded like any other.
+  struct Out {
+    Endpoint endpoint;  // must have been listed
+    Time sent = 0;
+    uint64_t call = 0;  // messages with the same number travel together
+  };
+  std::optional<Out> out;
 };
 
 enum class Outcome {
@@ -194,6 +202,7 @@
   Time out_since = 0;   // 0: no outage
   Time back_since = 0;  // 0: still out
   double base = 0;      // own served rate before it
+  Time wait_until = 0;  // a told wait's end; 0: none
   bool operator==(const DestinationMemory&) const = default;
 };
 
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <cctype>
 #include <charconv>
+#include <nlohmann/json.hpp>
 #include <stdexcept>
 
 #include "resp.h"
@@ -96,6 +97,7 @@
   std::list<std::shared_ptr<Session>>::iterator place;
 
   void proceed() {
+    if (owner_ != nullptr && owner_->give_) return hand_over();
     std::optional<std::vector<std::string>> words;
     try {
       words = parser_.next();
@@ -118,6 +120,31 @@
     if (owner_->finishing_ || (spoke_ && owner_->leaving())) finish();
   }
 
+  // Without a shutdown, which would end it for the other process as well.
+  void hand_over() {
+    const nlohmann::json state = {{"since", since_}, {"came", came_}, {"began", began_}, {"spoke", spoke_}};
+    owner_->give_(state.dump() + "\n" + std::string(parser_.rest()), socket_.native_handle());
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    state_ = State::kClosed;
+    std::exchange(owner_, nullptr)->forget(place);
+  }
+
+  // As it was in the process before. The clock is the machine's, so the times hold.
+  void adopt(const std::string& text) {
+    const size_t end = text.find('\n');
+    const auto state = nlohmann::json::parse(text.substr(0, end));
+    since_ = state.at("since").get<Time>();
+    came_ = state.at("came").get<Time>();
+    began_ = state.at("began").get<Time>();
+    spoke_ = state.at("spoke").get<bool>();
+    parser_.feed(std::string_view(text).substr(end + 1));
+    proceed();
+  }
+
+  bool reading() const { return state_ == State::kReading; }
+  bool owed() const { return state_ == State::kServing || state_ == State::kWriting; }
+
   // What was answered is between requests; what never spoke may be a client that comes just now.
   bool spoke() const { return spoke_; }
 
@@ -281,12 +308,16 @@
   bool last_ = false;
 };
 
-Clients::Clients(boost::asio::io_context& io, const tcp::endpoint& listen, size_t most, Put put)
+Clients::Clients(boost::asio::io_context& io, const tcp::endpoint& listen, size_t most, Put put, int listener)
     : io_(io), acceptor_(io), pause_(io), sweeper_(io), most_(most), put_(std::move(put)) {
-  acceptor_.open(listen.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(listen);
-  acceptor_.listen();
+  if (listener >= 0) {
+    acceptor_.assign(listen.protocol(), listener);
+  } else {
+    acceptor_.open(listen.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(listen);
+    acceptor_.listen();
+  }
   accept();
   sweep();
 }
@@ -308,16 +339,38 @@
       });
       return;
     }
-    boost::system::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    socket.non_blocking(true, ignored);
-    auto session = std::make_shared<Session>(*this, std::move(socket));
-    session->place = sessions_.insert(sessions_.end(), session);
-    session->proceed();
+    add(std::move(socket))->proceed();
     accept();
   });
 }
 
+std::shared_ptr<Clients::Session> Clients::add(tcp::socket socket) {
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.non_blocking(true, ignored);
+  auto session = std::make_shared<Session>(*this, std::move(socket));
+  session->place = sessions_.insert(sessions_.end(), session);
+  return session;
+}
+
+void Clients::adopt(const std::string& state, int descriptor) {
+  add(tcp::socket(io_, address().protocol(), descriptor))->adopt(state);
+}
+
+void Clients::hand_over(Give give) {
+  give_ = std::move(give);
+  finish();
+  for (auto next = sessions_.begin(); next != sessions_.end();) {
+    const auto session = *next++;
+    if (session->reading()) session->hand_over();
+  }
+}
+
+bool Clients::answered() const {
+  return std::none_of(sessions_.begin(), sessions_.end(),
+                      [](const auto& session) { return session->owed(); });
+}
+
 // At the limit the connection that has been of no use for longest goes. Clients keep connections for good,
 // and some connect and say nothing: they would shut out those that have something to hand in.
 bool Clients::make_room() {
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -21,8 +21,12 @@
   using Answer = std::function<void(std::string line)>;  // called once, with a RESP line without its end
   using Put = std::function<void(Handed message, Answer answer)>;
 
-  // Listens at once, and holds at most `most` connections; throws boost::system::system_error.
-  Clients(boost::asio::io_context& io, const tcp::endpoint& listen, size_t most, Put put);
+  // For another process: a connection, with what it must know of it.
+  using Give = std::function<void(const std::string& state, int descriptor)>;
+
+  // Listens at once, or takes a listener over, and holds at most `most` connections; throws
+  // boost::system::system_error.
+  Clients(boost::asio::io_context& io, const tcp::endpoint& listen, size_t most, Put put, int listener = -1);
   ~Clients();
 
   tcp::endpoint address() const { return acceptor_.local_endpoint(); }
@@ -34,12 +38,19 @@
   void drain();
   void activate() { draining_since_ = 0; }
 
+  // Takes no new connection and gives those that are open away, each once it has been answered.
+  void hand_over(Give give);
+  int listener() { return acceptor_.is_open() ? acceptor_.native_handle() : -1; }
+  bool answered() const;                                 // none waits for an answer
+  void adopt(const std::string& state, int descriptor);  // one that was given away
+
  private:
   class Session;
 
   bool leaving() const;  // connections go once they have been answered
 
   void accept();
+  std::shared_ptr<Session> add(tcp::socket socket);
   bool make_room();
   void sweep();
   void forget(std::list<std::shared_ptr<Session>>::iterator place);
@@ -53,6 +64,7 @@
   bool accepting_ = false;
   bool finishing_ = false;
   Time draining_since_ = 0;            // 0: not draining
+  Give give_;                          // set: whatever can goes to another process
   std::array<char, 64 * 1024> bytes_;  // what was read last, of any connection
   std::list<std::shared_ptr<Session>> sessions_;
 };
--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -127,6 +127,11 @@
   return out;
 }
 
+Endpoint Directory::handle(const std::string& id) const {
+  const auto it = handles_.find(id);
+  return it == handles_.end() ? Endpoint{} : it->second;
+}
+
 const ListedHost* Directory::find(const Endpoint& endpoint) const {
   const auto it = hosts_.find(endpoint);
   return it == hosts_.end() ? nullptr : &it->second;
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -53,6 +53,7 @@
   // What is listed, read with other names for zones and kinds.
   HostList read_again(const ListNames& names) const;
 
+  Endpoint handle(const std::string& id) const;  // of a host that is not forgotten; else none
   const ListedHost* find(const Endpoint& endpoint) const;
   bool active(const Endpoint& endpoint) const;
   bool known(int destination) const { return destinations_.contains(destination); }  // had a host at any time
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -111,9 +111,13 @@
   connect();
 }
 
-Watch::~Watch() {
+Watch::~Watch() { close(); }
+
+void Watch::close() {
   if (stream_) stream_->close();
   for (const auto& stream : old_) stream->close();
+  old_.clear();
+  pause_.cancel();
 }
 
 void Watch::move(const tcp::endpoint& address) {
@@ -224,8 +228,14 @@
 Notices::Notices(boost::asio::io_context& io, const tcp::endpoint& address, Sent sent)
     : io_(io), address_(address), sent_(std::move(sent)), pause_(io), back_off_(kFirstPause) {}
 
-Notices::~Notices() {
+Notices::~Notices() { close(); }
+
+void Notices::close() {
   if (post_) post_->close();
+  post_.reset();
+  queue_.clear();
+  out_ = 0;
+  pause_.cancel();
 }
 
 void Notices::add(Notice notice) {
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -33,6 +33,7 @@
 
   void move(const tcp::endpoint& address);
   void rename(ListNames names) { names_ = std::move(names); }
+  void close();  // for good
 
  private:
   class Stream;
@@ -65,6 +66,7 @@
   // What is unanswered goes to the new address, at once.
   void move(const tcp::endpoint& address);
   bool empty() const { return queue_.empty(); }
+  void close();  // for good: what is unanswered is another process's
 
  private:
   class Post;
--- /dev/null
+++ b/relay/handover.cpp
@@ -0,0 +1,195 @@
+#include "handover.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/file.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <chrono>
+#include <cstddef>
+#include <cstring>
+#include <stdexcept>
+#include <thread>
+#include <vector>
+
+namespace firspool::relay {
+namespace {
+
+using Error = boost::system::error_code;
+
+constexpr auto kMostWait = std::chrono::seconds(5);  // for an owner that ends rather than hands over
+constexpr auto kPoll = std::chrono::milliseconds(20);
+constexpr int kMostSilent = 1000;           // milliseconds between parcels that are waited for
+constexpr size_t kMostParcel = 320 * 1024;  // a client's bytes: one read beside a command not yet whole
+
+std::pair<sockaddr_un, socklen_t> local_address(const std::string& name) {
+  sockaddr_un out{};
+  out.sun_family = AF_UNIX;  // a name that begins with a zero byte is abstract
+  std::memcpy(out.sun_path + 1, name.data(), name.size());
+  return {out, static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + name.size())};
+}
+
+// The other end is a process of the same user: the name is there for anyone.
+bool trusted(int socket) {
+  ucred peer{};
+  socklen_t size = sizeof peer;
+  return ::getsockopt(socket, SOL_SOCKET, SO_PEERCRED, &peer, &size) == 0 && peer.uid == ::geteuid();
+}
+
+void set_up(int socket) {
+  const int bytes = kMostParcel;
+  const timeval most{1, 0};
+  ::setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+  ::setsockopt(socket, SOL_SOCKET, SO_SNDTIMEO, &most, sizeof most);
+}
+
+}  // namespace
+
+Descriptor::~Descriptor() {
+  if (fd_ >= 0) ::close(fd_);
+}
+
+Handover::Handover(boost::asio::io_context& io, const std::filesystem::path& folder)
+    : before_(io), listener_(io), after_(io) {
+  const auto lock = folder / "lock";
+  lock_ = Descriptor(::open(lock.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+  struct stat about {};
+  if (lock_.get() < 0 || ::fstat(lock_.get(), &about) != 0) {
+    throw std::runtime_error("cannot open " + lock.string() + ": " + std::strerror(errno));
+  }
+  name_ = "umberhoist-" + std::to_string(about.st_dev) + "-" + std::to_string(about.st_ino);
+  const auto until = std::chrono::steady_clock::now() + kMostWait;
+  while (::flock(lock_.get(), LOCK_EX | LOCK_NB) != 0 && !ask()) {
+    if (std::chrono::steady_clock::now() > until) {
+      throw std::runtime_error("another process owns " + folder.string() + " and does not hand over");
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+}
+
+bool Handover::ask() {
+  Descriptor socket(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
+  const auto [address, size] = local_address(name_);
+  set_up(socket.get());
+  if (socket.get() < 0 || ::connect(socket.get(), reinterpret_cast<const sockaddr*>(&address), size) != 0 ||
+      !trusted(socket.get())) {
+    return false;
+  }
+  before_.assign(socket.release());
+  auto folder = next();
+  if (folder && folder->kind == Parcel::kFolder && folder->descriptor.get() >= 0) {
+    lock_ = std::move(folder->descriptor);
+    return true;
+  }
+  before_.close();
+  return false;
+}
+
+std::optional<Parcel> Handover::next() {
+  pollfd waiting{before_.native_handle(), POLLIN, 0};
+  if (::poll(&waiting, 1, kMostSilent) <= 0) return {};
+  return receive(before_);
+}
+
+bool Handover::send(Stream& to, Parcel::Kind kind, const std::string& text, int descriptor) {
+  if (!to.is_open()) return false;
+  char first = kind;
+  iovec parts[2] = {{&first, 1}, {const_cast<char*>(text.data()), text.size()}};
+  alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))] = {};
+  msghdr message{};
+  message.msg_iov = parts;
+  message.msg_iovlen = 2;
+  if (descriptor >= 0) {
+    message.msg_control = control;
+    message.msg_controllen = sizeof control;
+    cmsghdr* head = CMSG_FIRSTHDR(&message);
+    head->cmsg_level = SOL_SOCKET;
+    head->cmsg_type = SCM_RIGHTS;
+    head->cmsg_len = CMSG_LEN(sizeof(int));
+    std::memcpy(CMSG_DATA(head), &descriptor, sizeof descriptor);
+  }
+  ssize_t sent = -1;
+  do {
+    sent = ::sendmsg(to.native_handle(), &message, MSG_NOSIGNAL);
+  } while (sent < 0 && errno == EINTR);
+  return sent == static_cast<ssize_t>(1 + text.size());
+}
+
+std::optional<Parcel> Handover::receive(Stream& from) {
+  std::vector<char> bytes(kMostParcel);
+  iovec part{bytes.data(), bytes.size()};
+  alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))];
+  msghdr message{};
+  message.msg_iov = &part;
+  message.msg_iovlen = 1;
+  message.msg_control = control;
+  message.msg_controllen = sizeof control;
+  ssize_t got = -1;
+  bool reset = false;  // told once, where the other end left something unread; what it gave is still there
+  do {
+    got = ::recvmsg(from.native_handle(), &message, MSG_CMSG_CLOEXEC);
+  } while (got < 0 && (errno == EINTR || (errno == ECONNRESET && !std::exchange(reset, true))));
+  if (got <= 0) return {};
+  Parcel out;
+  out.kind = static_cast<Parcel::Kind>(bytes[0]);
+  out.text.assign(bytes.data() + 1, static_cast<size_t>(got) - 1);
+  const cmsghdr* head = CMSG_FIRSTHDR(&message);
+  if (head != nullptr && head->cmsg_level == SOL_SOCKET && head->cmsg_type == SCM_RIGHTS) {
+    int fd = -1;
+    std::memcpy(&fd, CMSG_DATA(head), sizeof fd);
+    out.descriptor = Descriptor(fd);
+  }
+  return out;
+}
+
+void Handover::listen_to(Stream& from, Heard heard) {
+  if (!from.is_open()) return;
+  from.async_wait(Stream::wait_read, [this, &from, heard = std::move(heard)](const Error& error) {
+    if (error) return;
+    auto parcel = receive(from);
+    const bool gone = !parcel;
+    heard(std::move(parcel));
+    gone ? from.close() : listen_to(from, heard);
+  });
+}
+
+void Handover::offer(std::function<void()> asked) {
+  Descriptor socket(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  const auto [address, size] = local_address(name_);
+  if (socket.get() < 0 || ::bind(socket.get(), reinterpret_cast<const sockaddr*>(&address), size) != 0 ||
+      ::listen(socket.get(), 4) != 0) {
+    throw std::runtime_error(std::string("cannot offer a handover: ") + std::strerror(errno));
+  }
+  asked_ = std::move(asked);
+  listener_.assign(socket.release());
+  await_successor();
+}
+
+void Handover::await_successor() {
+  listener_.async_wait(Stream::wait_read, [this](const Error& error) {
+    if (error) return;
+    Descriptor socket(::accept4(listener_.native_handle(), nullptr, nullptr, SOCK_CLOEXEC));
+    if (socket.get() < 0 || !trusted(socket.get())) return await_successor();
+    set_up(socket.get());
+    after_.assign(socket.release());
+    asked_();
+  });
+}
+
+bool Handover::give_folder() {
+  listener_.close();  // the successor offers the next one under the same name
+  if (!give(Parcel::kFolder, "", lock_.get())) return false;
+  lock_ = Descriptor();
+  return true;
+}
+
+void Handover::withdraw() {
+  after_.close();
+  offer(std::move(asked_));
+}
+
+}  // namespace firspool::relay
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cstdio>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace firspool::relay {
@@ -28,27 +29,42 @@
 
 // The descriptors: those of the process itself, clients, and calls with their idle connections. Calls have
 // what they need, then clients, who need a third for requests, half; idle connections what is left.
-// Standard ones, event loop, signals, listeners, journal twice, watches, notices; and operators.
-constexpr size_t kOwnDescriptors = 24 + Control::kMostCallers;
+// Standard ones, event loop, signals, listeners, journal twice, watches, notices, handover.
+constexpr size_t kOwnDescriptors = 24;
+// Operators, and what another process needs during an upgrade beside clients and calls; less where few are
+// told.
+constexpr size_t kOtherDescriptors = Control::kMostCallers + 24;
 constexpr size_t kProbes = 8;
 
+size_t own_descriptors(const Config& config) {
+  return kOwnDescriptors + std::min(kOtherDescriptors, config.sockets / 8);
+}
+
 size_t most_calls(const Config& config) {
-  const size_t half = (config.sockets - kOwnDescriptors) / 2;
+  const size_t half = (config.sockets - own_descriptors(config)) / 2;
   return std::min(half, static_cast<size_t>(config.settings.slots) + kProbes);
 }
 
 size_t most_clients(const Config& config) {
-  return std::min(config.sockets / 2, config.sockets - kOwnDescriptors - most_calls(config));
+  return std::min(config.sockets / 2, config.sockets - own_descriptors(config) - most_calls(config));
 }
 
 Upstream::Limits upstream_limits(const Config& config) {
   Upstream::Limits out;
   out.connect_timeout = config.settings.connect_timeout;
   out.idle = config.settings.conn_idle;
-  out.most_open = config.sockets - kOwnDescriptors - most_clients(config);
+  out.most_open = config.sockets - own_descriptors(config) - most_clients(config);
   return out;
 }
 
+bool never_ran(Outcome outcome) {
+  return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed || outcome == Outcome::kMoot;
+}
+
+std::string address_text(const tcp::endpoint& address) {
+  return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
 std::chrono::steady_clock::time_point at_time(Time t) {
   return std::chrono::steady_clock::time_point(std::chrono::microseconds(t));
 }
@@ -59,6 +75,7 @@
              std::function<void(const tcp::endpoint&)> listening)
     : io_(io),
       config_(config),
+      handover_(io, config.state),
       journal_(config.state, config.disk_bytes),
       policy_(config.settings, config.seed),
       wake_timer_(io),
@@ -83,7 +100,10 @@
   if (config_.control) {
     control_.emplace(io_, *config_.control, [this](const OperatorCall& call) { return operate(call); });
   }
-  open_timer_.expires_after(std::chrono::microseconds(kFirstWord));
+  if (handover_.taken_over()) take_over();
+  handover_.offer([this] { hand_over(); });
+  // The process before has listened to discovery up to now, and clients wait.
+  open_timer_.expires_after(std::chrono::microseconds(handover_.taken_over() ? 0 : kFirstWord));
   open_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) open();
   });
@@ -110,7 +130,7 @@
     if (name.starts_with(kDestination)) {
       memories.push_back({std::stoi(name.substr(kDestination.size())), fact.at("tokens").get<int>(),
                           steady(fact.at("out_since").get<Time>()), steady(fact.at("back_since").get<Time>()),
-                          fact.at("base").get<double>()});
+                          fact.at("base").get<double>(), steady(fact.value("wait_until", Time{0}))});
     }
   }
   list.hosts =
@@ -126,7 +146,8 @@
   const nlohmann::json fact = {{"tokens", memory.tokens},
                                {"out_since", wall(memory.out_since)},
                                {"back_since", wall(memory.back_since)},
-                               {"base", memory.base}};
+                               {"base", memory.base},
+                               {"wait_until", wall(memory.wait_until)}};
   journal_.remember(kDestination + std::to_string(memory.destination), fact.dump());
 }
 
@@ -147,9 +168,11 @@
 void Relay::open() {
   if (clients_ || stopping_since_ != 0) return;
   resume();
-  clients_.emplace(io_, config_.listen, most_clients(config_), [this](Handed handed, Clients::Answer answer) {
-    put(std::move(handed), std::move(answer));
-  });
+  clients_.emplace(
+      io_, config_.listen, most_clients(config_),
+      [this](Handed handed, Clients::Answer answer) { put(std::move(handed), std::move(answer)); },
+      listener_.release());
+  handover_.hear([this](std::optional<Parcel> parcel) { heard_before(std::move(parcel)); });
   if (draining_) clients_->drain();
   listening_(clients_->address());
 }
@@ -163,8 +186,10 @@
   Figures out = counted_;
   for (const ClassSettings& c : config_.settings.classes) out.classes.try_emplace(c.name);
   out.dispatches = upstream_.written();
-  out.concurrent = static_cast<size_t>(
-      std::count_if(held_.begin(), held_.end(), [](const auto& held) { return held.second.accepted; }));
+  out.concurrent =
+      handed_over_ ? 0 : static_cast<size_t>(std::count_if(held_.begin(), held_.end(), [](const auto& held) {
+        return held.second.accepted;
+      }));
   const auto& hosts = directory_.hosts();
   out.targets = static_cast<size_t>(std::count_if(hosts.begin(), hosts.end(), [](const auto& host) {
     return host.second.member.listing != Listing::kGone;
@@ -174,6 +199,7 @@
 }
 
 OperatorReply Relay::operate(const OperatorCall& call) {
+  if (handed_over_ && call.what != OperatorCall::What::kMetrics) return {503, "handed over\n"};
   switch (call.what) {
     case OperatorCall::What::kReady:
       if (!clients_) return {503, "starting\n"};
@@ -223,14 +249,150 @@
     in.due = held.due;
     in.destination = entry.message.destination;
     in.attempts = entry.attempts;
-    if (!entry.unsettled.empty()) {
-      const auto& [sent, zone] = entry.unsettled.begin()->second;
+    auto unsettled = entry.unsettled;
+    const auto away = away_.find(entry.message.id);
+    if (away != away_.end()) {
+      held.attempts = in.attempts = std::max(in.attempts, away->second.attempt + 1);
+      unsettled.erase(away->second.attempt);  // its end is still to come
+    }
+    if (!unsettled.empty()) {
+      const auto& [sent, zone] = unsettled.begin()->second;
       in.ran = true;
       in.ran_sent = now + (sent - wall);
       in.ran_zone = zone;
     }
+    if (away != away_.end() && !resume_away(in, away->second)) continue;
     happened(in);
   }
+  std::erase_if(away_, [](const auto& away) { return away.second.number == 0; });
+}
+
+// What the process before has out. The rest of what it gives is heard while clients are served.
+void Relay::take_over() {
+  uint64_t number = 0;
+  while (auto parcel = handover_.next()) {
+    if (parcel->kind == Parcel::kListener) {
+      const bool same = config_.listen.port() == 0 || parcel->text == address_text(config_.listen);
+      if (same) listener_ = std::move(parcel->descriptor);
+      return;
+    }
+    if (parcel->kind != Parcel::kCall) continue;
+    const auto call = nlohmann::json::parse(parcel->text);
+    const Endpoint endpoint = directory_.handle(call.at("host").get<std::string>());
+    ++number;
+    for (const auto& [id, attempt] : call.at("messages").items()) {
+      away_[id] = {0, attempt.get<int>(), {endpoint, call.at("since").get<Time>(), number}, {}};
+    }
+  }
+}
+
+// Whether the module is to be told now.
+bool Relay::resume_away(Arrival& in, Away& away) {
+  away.number = in.id;
+  if (directory_.find(away.call.endpoint) == nullptr) {
+    away.untold = in;
+    return false;
+  }
+  in.out = away.call;
+  ++out_[away.call.endpoint];
+  return true;
+}
+
+void Relay::heard_before(std::optional<Parcel> parcel) {
+  if (!parcel) {  // it is gone: what it had out may have run
+    while (!away_.empty()) {
+      AttemptEnded lost;
+      lost.outcome = Outcome::kReset;
+      const std::string id = away_.begin()->first;
+      away_ended(id, lost, true);
+    }
+  } else if (parcel->kind == Parcel::kClient && !handed_over_) {
+    clients_->adopt(parcel->text, parcel->descriptor.release());
+  } else if (parcel->kind == Parcel::kEnded) {
+    const auto told = nlohmann::json::parse(parcel->text);
+    AttemptEnded end;
+    end.outcome = static_cast<Outcome>(told.at("outcome").get<int>());
+    end.final = told.at("final").get<bool>();
+    end.took = told.at("took").get<Time>();
+    end.wait = told.at("wait").get<Time>();
+    for (const auto& value : told.at("report")) {
+      end.report.push_back(value.is_null() ? std::numeric_limits<float>::quiet_NaN() : value.get<float>());
+    }
+    away_ended(told.at("id").get<std::string>(), std::move(end), told.at("began").get<bool>());
+  }
+}
+
+void Relay::away_ended(const std::string& id, AttemptEnded end, bool began) {
+  const auto found = away_.find(id);
+  if (found == away_.end()) return;
+  const Away away = std::move(found->second);
+  away_.erase(found);
+  end.id = away.number;
+  end.attempt = away.attempt;
+  end.endpoint = away.call.endpoint;
+  if (handed_over_) return pass_on(id, end, began);
+  ended(end, began);
+  if (!away.untold || end.final) return;
+  Arrival in = *away.untold;
+  if (began && !never_ran(end.outcome) && !in.ran) {
+    in.ran = true;
+    in.ran_sent = away.call.sent;
+  }
+  happened(in);
+}
+
+// In one turn all goes to the process that asked, but the calls that are out: their ends follow.
+void Relay::hand_over() {
+  happened(Closing{steady_now()});
+  step();
+  if (!handover_.give_folder()) {
+    handover_.withdraw();
+    return happened(Closing{std::numeric_limits<Time>::max()});
+  }
+  handed_over_ = true;
+  events_.clear();
+  std::fprintf(stderr, "handing over to another process\n");
+  const auto tell = [&](const Endpoint& endpoint, Time since, const nlohmann::json& messages) {
+    const ListedHost* host = directory_.find(endpoint);
+    const nlohmann::json call = {
+        {"host", host == nullptr ? "" : host->id}, {"since", since}, {"messages", messages}};
+    handover_.give(Parcel::kCall, call.dump());
+  };
+  for (const Upstream::Out& call : upstream_.calls_out()) {
+    nlohmann::json messages = nlohmann::json::object();
+    for (const auto& [number, attempt] : call.messages) {
+      if (const auto held = held_.find(number); held != held_.end())
+        messages[held->second.handed.id] = attempt;
+    }
+    tell(call.endpoint, call.since, messages);
+  }
+  for (const auto& [id, away] : away_) tell(away.call.endpoint, away.call.sent, {{id, away.attempt}});
+  const int listener = clients_ ? clients_->listener() : -1;
+  handover_.give(Parcel::kListener, listener < 0 ? "" : address_text(clients_->address()), listener);
+  if (clients_) {
+    clients_->hand_over([this](const std::string& state, int descriptor) {
+      handover_.give(Parcel::kClient, state, descriptor);
+    });
+  }
+  handover_.hear_successor([this](std::optional<Parcel> parcel) {
+    if (!parcel || parcel->kind != Parcel::kCancel) return;
+    const auto number = numbers_.find(parcel->text);
+    if (number != numbers_.end()) upstream_.cancel(number->second, held_.at(number->second).attempts - 1);
+  });
+  watch_.close();
+  notices_.close();
+  upstream_.close_idle();
+  wait_for_end();
+}
+
+void Relay::pass_on(const std::string& id, const AttemptEnded& end, bool began) {
+  nlohmann::json report = nlohmann::json::array();  // what is no number becomes null
+  for (const float value : end.report) report.push_back(value);
+  const nlohmann::json told = {{"id", id},           {"outcome", static_cast<int>(end.outcome)},
+                               {"final", end.final}, {"took", end.took},
+                               {"wait", end.wait},   {"report", report},
+                               {"began", began}};
+  handover_.give(Parcel::kEnded, told.dump());
 }
 
 void Relay::put(Handed handed, Clients::Answer answer) {
@@ -312,6 +474,7 @@
 }
 
 void Relay::reload() {
+  if (handed_over_) return;
   try {
     Config next = load_config();
     require_keys(config_.text, next.text);
@@ -372,16 +535,20 @@
 bool Relay::may_start(const Call& call) {
   const auto held = held_.find(call.id);
   const ListedHost* host = directory_.find(call.endpoint);
-  if (held == held_.end() || !directory_.active(call.endpoint) || steady_now() > call.start_by) return false;
+  if (handed_over_ || held == held_.end() || !directory_.active(call.endpoint) ||
+      steady_now() > call.start_by)
+    return false;
   const auto wait = waits_.find(lane_of(host->member));
   if (wait != waits_.end() && wait->second > steady_now()) return false;
   return journal_.attempt(held->second.handed.id, call.attempt, wall_now(), host->member.zone);
 }
 
 void Relay::ended(const AttemptEnded& end, bool began) {
-  const bool never = end.outcome == Outcome::kFull || end.outcome == Outcome::kConnectFailed ||
-                     end.outcome == Outcome::kMoot;
   const auto held = held_.find(end.id);
+  if (handed_over_) {
+    if (held != held_.end()) pass_on(held->second.handed.id, end, began);
+    return;
+  }
   const ListedHost* host = directory_.find(end.endpoint);
   if (end.wait > 0 && host != nullptr) {
     Time& until = waits_[lane_of(host->member)];
@@ -391,7 +558,7 @@
     if (end.final) {
       if (end.outcome == Outcome::kOk) ++counted_.classes[held->second.handed.message_class].success;
       finish(end.id, {});
-    } else if (began && never) {
+    } else if (began && never_ran(end.outcome)) {
       journal_.never_ran(held->second.handed.id, end.attempt);
     }
   }
@@ -400,6 +567,7 @@
 }
 
 void Relay::happened(Event event) {
+  if (handed_over_) return;
   events_.push_back(std::move(event));
   if (step_posted_) return;
   step_posted_ = true;
@@ -408,6 +576,7 @@
 
 void Relay::step() {
   step_posted_ = false;
+  if (handed_over_) return;
   std::vector<Event> events;
   events.swap(events_);
   std::vector<Action> actions;
@@ -494,6 +663,10 @@
     if (held != held_.end()) finish(fail->id, Notice{held->second.handed.id, false, 0});
   } else if (const auto* cancel = std::get_if<Cancel>(&action)) {
     upstream_.cancel(cancel->id, cancel->attempt);
+    const auto held = held_.find(cancel->id);
+    if (held != held_.end() && away_.contains(held->second.handed.id)) {
+      handover_.tell_before(Parcel::kCancel, held->second.handed.id);
+    }
   } else if (const auto* probe = std::get_if<Probe>(&action)) {
     const ListedHost* host = directory_.find(probe->endpoint);
     if (host == nullptr) return happened(ProbeEnded{probe->endpoint, false, 0, {}});
@@ -555,17 +728,21 @@
 void Relay::stop() {
   if (stopping_since_ != 0) return;
   stopping_since_ = steady_now();
+  if (handed_over_) return;  // it ends as soon as it can
   happened(Closing{stopping_since_ + kLastCall});
   wait_for_end();
 }
 
 void Relay::wait_for_end() {
-  const Time age = steady_now() - stopping_since_;
-  if (age >= kServeOn && !closed_) {
+  if (handed_over_ && upstream_.out() == 0 && away_.empty() && (!clients_ || clients_->answered())) {
+    return io_.stop();
+  }
+  const Time age = stopping_since_ == 0 ? 0 : steady_now() - stopping_since_;
+  if (age >= kServeOn && !closed_ && !handed_over_) {
     closed_ = true;
     if (clients_) clients_->finish();
   }
-  const bool idle = held_.empty() && notices_.empty();
+  const bool idle = !handed_over_ && held_.empty() && notices_.empty();
   if (age >= kLastCall || (closed_ && idle)) return io_.stop();
   stop_timer_.expires_after(std::chrono::microseconds(kStopPoll));
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -17,6 +17,7 @@
 #include "directory.h"
 #include "discovery.h"
 #include "figures.h"
+#include "handover.h"
 #include "journal.h"
 #include "upstream.h"
 
@@ -51,6 +52,12 @@
     Time give_up = 0;
     bool gone = false;  // it is in the settings only for this
   };
+  struct Away {  // a message whose call the process before still has out
+    uint64_t number = 0;
+    int attempt = 0;
+    Arrival::Out call;
+    std::optional<Arrival> untold;  // its host is not listed any more: told once the call has ended
+  };
   struct Pending {  // handed in during this turn, not yet decided on
     uint64_t number = 0;
     Clients::Answer answer;
@@ -61,6 +68,12 @@
   void recall();
   void open();
   void resume();
+  void take_over();
+  bool resume_away(Arrival& in, Away& away);
+  void heard_before(std::optional<Parcel> parcel);
+  void away_ended(const std::string& id, AttemptEnded end, bool began);
+  void hand_over();
+  void pass_on(const std::string& id, const AttemptEnded& end, bool began);
   void remember(const DestinationMemory& memory);
   void remember_host(const ListedHost& host);
   void forget_gone(const Endpoint& endpoint);
@@ -87,6 +100,10 @@
   Config config_;
   std::map<std::string, Retired> retired_;
   Directory directory_;
+  Handover handover_;
+  bool handed_over_ = false;  // all but the calls that were out is another process's
+  std::map<std::string, Away> away_;
+  Descriptor listener_;  // of the process before
   Journal journal_;
   Policy policy_;
   std::vector<Event> events_;
--- a/relay/resp.h
+++ b/relay/resp.h
@@ -25,6 +25,8 @@
   // The next whole command; nothing if more bytes are needed. Throws RespError on what is no command.
   std::optional<std::vector<std::string>> next();
 
+  // What has come and was not returned.
+  std::string_view rest() const { return std::string_view(buffer_).substr(read_); }
   bool empty() const { return read_ == buffer_.size(); }
 
  private:
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -113,6 +113,14 @@
     });
   }
 
+  std::optional<Out> out() const {
+    Out call{begun_, endpoint_, {}};
+    for (const Part& part : parts_) {
+      if (!part.over) call.messages.push_back({part.call.id, part.call.attempt});
+    }
+    return probe_ || call.messages.empty() ? std::nullopt : std::optional(std::move(call));
+  }
+
   // A message must not be sent again while this call is out, so the call ends with the first of its messages
   // that would be. Those that are at their end leave it alone.
   void start() {
@@ -510,6 +518,19 @@
   idle_.erase(it);
 }
 
+void Upstream::close_idle() {
+  idle_.clear();
+  idle_count_ = 0;
+}
+
+std::vector<Upstream::Out> Upstream::calls_out() const {
+  std::vector<Out> out;
+  for (const auto& [name, exchange] : exchanges_) {
+    if (auto call = exchange->out()) out.push_back(std::move(*call));
+  }
+  return out;
+}
+
 std::optional<Upstream::Idle> Upstream::take(const Endpoint& endpoint, const tcp::endpoint& address) {
   const auto it = idle_.find(endpoint);
   if (it == idle_.end()) return {};
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -59,6 +59,14 @@
   void cancel(uint64_t id, int attempt);
   void probe(const Endpoint& endpoint, const tcp::endpoint& address);
   void close_idle(const Endpoint& endpoint);
+  // A call that is out: when it began, and the messages that are still in it.
+  struct Out {
+    Time since = 0;
+    Endpoint endpoint;
+    std::vector<std::pair<uint64_t, int>> messages;  // the module's numbers, and attempts
+  };
+  std::vector<Out> calls_out() const;
+  void close_idle();  // to all hosts
   size_t out() const { return exchanges_.size(); }
   uint64_t written() const { return written_; }
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -17,6 +17,7 @@
 
 constexpr Time kMs = 1000;
 constexpr Time kSecond = 1000 * kMs;
+constexpr uint64_t kElsewhere = uint64_t{1} << 63;  // numbers of calls that the process before made
 constexpr Time kNever = std::numeric_limits<Time>::max();
 
 // Retry bucket: a served call earns a tenth, so repeats stay under a tenth when failures are common.
@@ -343,6 +344,22 @@
     m.ran_sent = e.ran_sent;
     m.ran_zone = e.ran_zone;
     if (c.in_order && e.key != 0) turns_[e.key].push_back(e.id);
+    if (e.out) resume_out(m);
+  }
+
+  // Its call holds a slot and weighs on its host, whoever made it.
+  void resume_out(Message& m) {
+    Host& host = hosts_.at(m.in.out->endpoint);
+    const uint64_t number = kElsewhere | m.in.out->call;
+    const auto [call, fresh] = calls_.try_emplace(number);
+    ++call->second.left;
+    if (fresh) {
+      ++host.calls;
+      ++destinations_[host.member.destination].calls;
+    }
+    m.out = true;
+    m.repeat = false;
+    attempts_[{m.in.id, m.attempts - 1}] = {host.member.endpoint, m.in.out->sent, number};
   }
 
   // What a tenant sends beyond its quota is worth little; this relay's part of it is taken as an even one.
@@ -374,10 +391,12 @@
     Destination& d = destinations_[e.destination];
     d.tokens = std::max(0, e.tokens);  // the list, with the cap, may come later
     d.remembered = e;
-    if (e.out_since == 0) return;
+    if (e.out_since == 0 && e.wait_until == 0) return;
     const LaneKey key = {e.destination, Endpoint{}};
     Lane& l = lanes_[key];
     l.key = key;
+    l.wait_until = e.wait_until;
+    if (e.out_since == 0) return;
     l.out_since = e.out_since;
     l.back_since = e.back_since;
     l.base = e.base;
@@ -669,6 +688,7 @@
     for (auto& [number, d] : destinations_) {
       DestinationMemory next{number, d.tokens - d.tokens % kToken};
       const auto lane = lanes_.find({number, Endpoint{}});
+      if (lane != lanes_.end() && lane->second.wait_until > now_) next.wait_until = lane->second.wait_until;
       if (lane != lanes_.end() && lane->second.out_since != 0 && !lane->second.suspected) {
         next.out_since = lane->second.out_since;
         next.back_since = lane->second.back_since;
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -264,6 +264,126 @@
   await_figure(s, "proxy_reload_success_total 1");
 }
 
+// ---- A new version under load ----
+
+struct Upgraded : Operated {
+  std::optional<Program> next;
+
+  void upgrade() {
+    next.emplace(config);
+    next->succeed(*program);
+    next->start();
+  }
+};
+
+TEST(Upgrade, KeepsConnectionsAndWhatIsHeld) {
+  Upgraded s;
+  s.start();
+  Socket kept = s.program->client();
+  Socket half = s.program->client();
+  Socket unread = s.program->client();
+  EXPECT_EQ(ping(kept), "+PONG");
+  kept.send(put_bytes("a1", facts("keyed", 99)));
+  EXPECT_EQ(kept.line(), "+OK");
+  const std::string command = put_bytes("a2", facts("unsafe"));
+  half.send("*1\r\n$4\r\nPING\r\n" + command.substr(0, 40));
+  EXPECT_EQ(half.line(), "+PONG");  // the rest of what was sent has been read with it
+  s.upgrade();
+  EXPECT_EQ(s.program->wait(), 0);
+  EXPECT_EQ(ping(kept), "+PONG");
+  EXPECT_EQ(ping(unread), "+PONG");
+  half.send(command.substr(40));
+  EXPECT_EQ(half.line(), "+OK");
+  EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a2");
+  s.host.answer("200");
+  kept.send(put_bytes("a1", facts("keyed", 99)));  // it is known
+  EXPECT_EQ(kept.line(), "+OK");
+  s.host.drop();
+  s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 99)}));
+  EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a1");
+  s.host.answer("200");
+  Socket fresh = Socket::connect(s.next->port());
+  EXPECT_EQ(ping(fresh), "+PONG");
+  EXPECT_EQ(s.next->operate("GET", "/v1/readyz").first, 200);
+}
+
+TEST(Upgrade, HearsTheEndOfACallThatWasOut) {
+  Upgraded s;
+  s.start();
+  EXPECT_EQ(s.put("a1", facts("unsafe")), "+OK");
+  EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a1");
+  s.upgrade();
+  EXPECT_EQ(s.call("GET", "/v1/readyz"), 503);
+  EXPECT_EQ(s.call("POST", "/v1/relay/drain"), 503);
+  EXPECT_EQ(numbers(s.next->operate("GET", "/v1/metrics").second).at("proxy_concurrent"), 1);
+  s.program->signal(SIGTERM);
+  s.host.answer("200");
+  EXPECT_EQ(s.program->wait(), 0);
+  for (int ended = 0; ended == 0;) {
+    ended = numbers(s.next->operate("GET", "/v1/metrics").second).at("proxy_success_total{type=\"unsafe\"}");
+  }
+  const auto found = numbers(s.next->operate("GET", "/v1/metrics").second);
+  EXPECT_EQ(found.at("proxy_concurrent"), 0);
+  EXPECT_EQ(found.at("proxy_dispatches_total"), 0);
+}
+
+TEST(Upgrade, HeedsTheWaitThatEndsACallThatWasOut) {
+  Upgraded s;
+  s.start();
+  EXPECT_EQ(s.put("a1", facts("unsafe")), "+OK");
+  s.host.next();
+  s.upgrade();
+  const auto told = std::chrono::steady_clock::now();
+  s.host.answer("429", "Retry-After: 0.6\r\n");
+  s.host.left();  // the process before ends, and its connections with it
+  EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a1");
+  EXPECT_GE(std::chrono::steady_clock::now() - told, std::chrono::milliseconds(600));
+}
+
+TEST(Upgrade, HoldsForRunWhatADeadProcessHadOut) {
+  Upgraded s;
+  s.start();
+  EXPECT_EQ(s.put("a1", facts("unsafe")), "+OK");
+  s.host.next();
+  s.upgrade();
+  s.program->kill();
+  EXPECT_EQ(s.discovery.notice(), nlohmann::json({{"id", "a1"}, {"state", "failed"}}));
+}
+
+TEST(Upgrade, CanFollowAnUpgrade) {
+  Upgraded s;
+  s.start();
+  Socket kept = s.program->client();
+  EXPECT_EQ(s.put("a1", facts("keyed")), "+OK");
+  s.host.next();
+  s.upgrade();
+  Program last(s.config);
+  last.succeed(*s.program);
+  last.start();
+  s.host.answer("200");
+  EXPECT_EQ(s.program->wait(), 0);
+  EXPECT_EQ(s.next->wait(), 0);
+  for (int ended = 0; ended == 0;) {
+    ended = numbers(last.operate("GET", "/v1/metrics").second).at("proxy_success_total{type=\"keyed\"}");
+  }
+  EXPECT_EQ(ping(kept), "+PONG");
+}
+
+TEST(Upgrade, DoesNotBeginWhileTheOwnerIsSilent) {
+  Upgraded s;
+  s.start();
+  s.program->signal(SIGSTOP);
+  Program second(s.config);
+  second.succeed(*s.program);
+  EXPECT_TRUE(second.start_refused());
+  s.program->signal(SIGCONT);
+  EXPECT_EQ(s.put("a1", facts("keyed")), "+OK");  // it goes on, although it was asked
+  EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a1");
+  s.host.answer("200");
+  s.upgrade();
+  EXPECT_EQ(s.program->wait(), 0);
+}
+
 // ---- New settings ----
 
 // Waits until a class is taken or not: a signal arrives some time after it is sent.
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -248,6 +248,7 @@
 Program::Program(nlohmann::json config) {
   std::string pattern = std::filesystem::temp_directory_path() / "umberhoist-test-XXXXXX";
   folder_ = ::mkdtemp(pattern.data());
+  state_ = folder_ / "state";
   std::filesystem::create_directory(state());
   configure(config.dump());
 }
@@ -262,7 +263,7 @@
   std::filesystem::rename(folder_ / "config.new", folder_ / "config.json");
 }
 
-void Program::start(int descriptors) {
+void Program::launch(int descriptors) {
   int pipe[2];
   ASSERT_EQ(::pipe2(pipe, O_CLOEXEC), 0);
   const std::string config = folder_ / "config.json";
@@ -281,6 +282,19 @@
   }
   ::close(pipe[1]);
   log_ = Socket(pipe[0]);
+}
+
+bool Program::start_refused() {
+  launch(0);
+  const std::string line = log_.line();
+  int status = 0;
+  ::waitpid(child_, &status, 0);
+  child_ = -1;
+  return line.starts_with("umberhoist: ") && WIFEXITED(status) && WEXITSTATUS(status) == 1;
+}
+
+void Program::start(int descriptors) {
+  launch(descriptors);
   std::string line = log_.line();
   if (line.starts_with("operators at ")) {
     control_port_ = static_cast<uint16_t>(std::stoi(line.substr(line.rfind(':') + 1)));
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -120,19 +120,25 @@
   ~Program();
 
   void start(int descriptors = 0);
+  bool start_refused();  // it ends by itself, with a failure, and says why in one line
+  void succeed(const Program& before) { state_ = before.state(); }  // shares its folder
   void configure(const std::string& text);  // replaces the file; it is read at a start or on SIGHUP
   void signal(int number);
   int wait();  // exit status; minus the signal that ended it
   void kill();
-  std::filesystem::path state() const { return folder_ / "state"; }
+  std::filesystem::path state() const { return state_; }
   Socket client() const { return Socket::connect(port_); }
+  uint16_t port() const { return port_; }
   // One call on the operators' address, as it stands in the configuration; the status, and what came with it.
   std::pair<int, std::string> operate(const std::string& method, const std::string& target) const;
   Socket operators() const { return Socket::connect(control_port_); }
   bool logged(const std::string& start);  // waits for a line that begins so, behind those asked for before
 
  private:
+  void launch(int descriptors);
+
   std::filesystem::path folder_;
+  std::filesystem::path state_;
   pid_t child_ = -1;
   uint16_t port_ = 0;
   uint16_t control_port_ = 0;  // 0: the configuration has none
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -813,6 +813,52 @@
   EXPECT_LE(refused[0].retry_after, kSecond);
 }
 
+// ---- Upgrade ----
+
+// Calls that the process before has out hold slots, together where they travel together.
+TEST(Upgrade, CallsOfTheProcessBeforeHoldSlotsUntilTheyEnd) {
+  Settings s = plain_settings();
+  s.slots = 2;
+  Policy policy(s, 1);
+  std::vector<Action> actions;
+  const auto step = [&](Time now, const std::vector<Event>& events) {
+    actions.clear();
+    policy.step(now, events, actions);
+    return all_of<Send>(actions);
+  };
+  std::vector<Event> events = {unguarded(s)};
+  for (uint64_t id = 1; id <= 5; ++id) {
+    Arrival in;
+    in.id = id;
+    in.destination = 1;
+    in.due = 20 * kSecond;
+    in.attempts = id <= 3 ? 2 : 0;
+    if (id <= 3) in.out = Arrival::Out{{1, 80}, 0, id <= 2 ? 1u : 2u};
+    events.push_back(in);
+  }
+  EXPECT_TRUE(step(kSecond / 10, events).empty());
+  const auto end = [](uint64_t id, Outcome outcome) { return ended(Send{id, {1, 80}}, 1, outcome); };
+  EXPECT_TRUE(step(kSecond / 5, {end(1, Outcome::kOk)}).empty());  // message 2 is still in that call
+  EXPECT_EQ(step(kSecond / 4, {end(2, Outcome::kOk)}).size(), 1u);
+  const auto sends = step(kSecond / 3, {end(3, Outcome::kError)});
+  ASSERT_EQ(sends.size(), 1u);
+  EXPECT_GE(sends[0].id, 4u);
+}
+
+TEST(Upgrade, HeedsAWaitThatTheProcessBeforeWasTold) {
+  Settings s = plain_settings();
+  Relay before(s);
+  const auto sends = all_of<Send>(before.step(0, {members({member(1)}), before.message(1, 0)}));
+  const auto told =
+      all_of<Remember>(before.step(1000, {ended(sends.at(0), 0, Outcome::kFull, 1000, kSecond)}));
+  ASSERT_EQ(told.size(), 1u);
+  Relay after(s);
+  EXPECT_TRUE(
+      all_of<Send>(after.step(2000, {members({member(1)}), told[0].memory, after.message(2, 0)})).empty());
+  EXPECT_TRUE(all_of<Send>(after.idle(3000, kSecond)).empty());
+  EXPECT_EQ(all_of<Send>(after.idle(kSecond, 2 * kSecond)).size(), 1u);
+}
+
 // ---- New settings ----
 
 TEST(NewSettings, LeaveOpenMessagesTheirOldRules) {
