--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -210,6 +210,11 @@
   Time at = 0;
 };
 
+struct Suspended {  // an operator takes the endpoint out, or puts it back: it may be cold then
+  Endpoint endpoint;
+  bool out = true;
+};
+
 // New settings hold from here on; messages that arrived before keep their class and attempts. The list's
 // kinds and zones are told anew where they changed.
 struct SettingsChanged {
@@ -217,7 +222,7 @@
 };
 
 using Event = std::variant<MembersChanged, Arrival, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, PeerNote,
-                           Closing, DestinationMemory, SettingsChanged>;
+                           Closing, DestinationMemory, SettingsChanged, Suspended>;
 
 // ---- Actions ----
 
@@ -281,7 +286,7 @@
 
   void step(Time now, std::span<const Event> events, std::vector<Action>& actions);
 
-  // Ready endpoints that are passed over now, or sent to only to look whether they are back.
+  // Listed endpoints that are out by hand, passed over now, or sent to only to look whether they are back.
   size_t avoided(Time now) const;
 
  private:
--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -139,7 +139,7 @@
 
 bool Directory::active(const Endpoint& endpoint) const {
   const ListedHost* host = find(endpoint);
-  return host != nullptr && host->member.listing == Listing::kReady;
+  return host != nullptr && host->member.listing == Listing::kReady && !suspended(host->id);
 }
 
 }  // namespace firspool::relay
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -58,6 +58,10 @@
   bool active(const Endpoint& endpoint) const;
   bool known(int destination) const { return destinations_.contains(destination); }  // had a host at any time
   void add_destination(int destination) { destinations_.insert(destination); }
+  // Taken out by an operator: whatever is listed, it is not active until it is put back.
+  void suspend(const std::string& id) { suspended_.insert(id); }
+  void resume(const std::string& id) { suspended_.erase(id); }
+  bool suspended(const std::string& id) const { return suspended_.contains(id); }
   int64_t revision() const { return revision_; }
   const std::map<Endpoint, ListedHost>& hosts() const { return hosts_; }
   const std::set<int>& destinations() const { return destinations_; }
@@ -79,6 +83,7 @@
   std::map<Endpoint, ListedHost> hosts_;
   std::map<std::string, Time> gone_;  // when that was told
   std::set<int> destinations_;
+  std::set<std::string> suspended_;
 };
 
 }  // namespace firspool::relay
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -12,6 +12,7 @@
 const std::string kHost = "host ";  // names of what is remembered
 const std::string kDestination = "destination ";
 const std::string kGone = "gone ";
+const std::string kSuspended = "suspended ";
 const std::string kRevision = "revision";
 const std::string kDestinations = "destinations";
 
@@ -126,6 +127,7 @@
     if (name == kDestinations) {
       for (const int destination : fact.get<std::vector<int>>()) directory_.add_destination(destination);
     }
+    if (name.starts_with(kSuspended)) directory_.suspend(name.substr(kSuspended.size()));
     if (name.starts_with(kHost)) members.push_back(fact);
     if (name.starts_with(kDestination)) {
       memories.push_back(
@@ -221,7 +223,21 @@
     case OperatorCall::What::kResume:
       break;
   }
-  return {501, "not implemented\n"};
+  return suspend(call.id, call.what == OperatorCall::What::kSuspend);
+}
+
+// An endpoint that is out by hand may not be listed just now: it can be put back all the same.
+OperatorReply Relay::suspend(const std::string& id, bool out) {
+  const ListedHost* host = directory_.find(directory_.handle(id));
+  const bool listed = host != nullptr && host->member.listing != Listing::kGone;
+  if (!listed && !directory_.suspended(id)) return {404, "no such endpoint\n"};
+  out ? directory_.suspend(id) : directory_.resume(id);
+  journal_.remember(kSuspended + id, out ? "1" : "");
+  if (host != nullptr) {
+    if (out) upstream_.close_idle(host->member.endpoint);
+    happened(Suspended{host->member.endpoint, out});
+  }
+  return {200, out ? "suspended\n" : "resumed\n"};
 }
 
 // Messages from before a restart are the module's to decide on, like any other.
@@ -444,7 +460,9 @@
   const auto members = change->members;
   happened(std::move(*change));
   for (const Member& member : *members) {
-    if (const ListedHost* host = directory_.find(member.endpoint)) remember_host(*host);
+    const ListedHost* host = directory_.find(member.endpoint);
+    if (host != nullptr) remember_host(*host);
+    if (host != nullptr && directory_.suspended(host->id)) happened(Suspended{member.endpoint, true});
     forget_gone(member.endpoint);
   }
   if (directory_.destinations().size() != destinations) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -64,6 +64,7 @@
   };
 
   Figures figures() const;
+  OperatorReply suspend(const std::string& id, bool out);
   OperatorReply operate(const OperatorCall& call);
   void recall();
   void open();
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -196,6 +196,10 @@
   Lane* lane = nullptr;
   bool ready = false;
   bool gone = false;
+  bool suspended = false;  // by hand
+  Time back_since = 0;     // when it was put back; 0: long ago
+  double base = 0;         // own rate to it before it was taken out
+  Pacer cold;
   bool probe_out = false;
   int calls = 0;
   int conns = 0;
@@ -250,7 +254,8 @@
   size_t avoided(Time now) const {
     return static_cast<size_t>(std::count_if(hosts_.begin(), hosts_.end(), [now](const auto& entry) {
       const Host& h = entry.second;
-      return h.ready && (h.avoid_until > now || (h.lane->out_since != 0 && h.lane->back_since == 0));
+      const bool out = h.suspended && !h.gone;
+      return out || (h.ready && (h.avoid_until > now || (h.lane->out_since != 0 && h.lane->back_since == 0)));
     }));
   }
 
@@ -297,7 +302,7 @@
     Host& host = hosts_[m.endpoint];
     host.member = m;
     host.lane = &lane_of(m);
-    host.ready = m.listing == Listing::kReady;
+    host.ready = m.listing == Listing::kReady && !host.suspended;
     host.gone = m.listing == Listing::kGone;
     if (host.gone) leaving_.insert(m.endpoint);
     by_destination_[m.destination][m.endpoint] = &host;
@@ -309,6 +314,29 @@
     if (set_.weights != Weights::kNone && m.weight > 0 && host.ready) host.lane->limit = m.weight;
   }
 
+  void fold(const Suspended& e) {
+    const auto found = hosts_.find(e.endpoint);
+    if (found == hosts_.end() || found->second.suspended == e.out) return;
+    Host& host = found->second;
+    host.suspended = e.out;
+    if (e.out) {
+      host.base = pooled_rate(*host.lane) / static_cast<double>(ready_beside(host) + 1);
+    } else {
+      host.back_since = now_;
+      host.cold = {seconds(random_.between(0, kSecond)), now_};
+      host.avoid_until = 0;
+    }
+    admit(Member(host.member));
+  }
+
+  int ready_beside(const Host& host) {
+    int out = 0;
+    for (const auto& [endpoint, other] : by_destination_[host.member.destination]) {
+      out += other->lane == host.lane && other->ready && other != &host;
+    }
+    return out;
+  }
+
   // What is gone and has nothing out is of no use any more. Guards against growth: ids are ever new.
   void forget_gone() {
     std::erase_if(leaving_, [this](const Endpoint& endpoint) {
@@ -706,12 +734,31 @@
     return std::max(1e-3, 1 - std::exp(-std::max(kHolders, seconds(end - l.out_since)) * l.base));
   }
 
+  // Share of its capacity that what came back has again.
+  double warmth(Time back_since) const {
+    const double warm = set_.cold <= 0 ? 1 : seconds(now_ - back_since) / seconds(set_.cold);
+    return set_.start_capacity + (1 - set_.start_capacity) * std::clamp(warm, 0.0, 1.0);
+  }
+
+  // Own part of what an endpoint takes that was put back by hand.
+  double cold_rate(const Host& host) const {
+    return host.base * kColdMargin * set_.fall_multiple * warmth(host.back_since);
+  }
+
+  // When an endpoint that was put back may be sent to.
+  Time admits(Host& host) {
+    if (host.back_since != 0 && now_ - host.back_since >= set_.cold) host.back_since = 0;
+    if (host.back_since == 0) return now_;
+    const double rate = cold_rate(host);
+    host.cold.refill(now_, rate, 1);
+    return host.cold.tokens >= 1 ? now_ : std::min(host.cold.ready(now_, rate), now_ + kSecond);
+  }
+
   // Own part of what a cold destination takes, beside the first calls of the relays that know of no outage.
   double cold_rate(const Lane& l) const {
-    const double warm = set_.cold <= 0 ? 0 : seconds(now_ - l.back_since) / seconds(set_.cold);
-    const double capacity = set_.start_capacity + (1 - set_.start_capacity) * std::clamp(warm, 0.0, 1.0);
     const double know = knowing(l);
-    return l.base * std::max(0.0, kColdMargin * set_.fall_multiple * capacity - (1 - know)) / know;
+    return l.base * std::max(0.0, kColdMargin * set_.fall_multiple * warmth(l.back_since) - (1 - know)) /
+           know;
   }
 
   // Own part of the fleet's scouts. The relays that hold messages for the lane share them.
@@ -936,9 +983,12 @@
     if (l.out_since != 0 && l.back_since == 0) return;  // one message is scout enough
     // What goes to one endpoint in one round may share a call: one slot, one place under the limit, one fate.
     int room = batch_of(host->member) - 1;
-    const double debt = l.out_since == 0 ? 0 : seconds(set_.fall_window) / 2 * cold_rate(l);
+    const double credit = seconds(set_.fall_window) / 2;
+    const double debt = l.out_since == 0 ? 0 : credit * cold_rate(l);
+    const double own_debt = host->back_since == 0 ? 0 : credit * cold_rate(*host);
     for (const Candidate& c : waiting) {
       if (room <= 0 || (l.out_since != 0 && l.cold.tokens < kBundleWork - debt)) return;
+      if (host->back_since != 0 && host->cold.tokens < kBundleWork - own_debt) return;
       Message& other = messages_.at(c.id);
       if (other.out || other.in.destination != m.in.destination) continue;
       if ((other.repeat && d.tokens < kToken) || !in_scope(other, *host)) continue;
@@ -964,7 +1014,7 @@
     double best_cost = 0;
     for (const auto& [endpoint, host] : by_destination_[m.in.destination]) {
       if (!host->ready || !in_scope(m, *host)) continue;
-      const Time at = admits(*host->lane);
+      const Time at = std::max(admits(*host->lane), admits(*host));
       if (at > now_) {
         wake(at);
         continue;
@@ -1013,11 +1063,13 @@
     charge(*host.lane);
   }
 
-  void send(Message& m, Destination& d, const Host& host) {
+  void send(Message& m, Destination& d, Host& host) {
     Lane& l = *host.lane;
     const bool scout = l.out_since != 0 && l.back_since == 0;
     l.scouts += scout;
-    if (l.out_since != 0) l.cold.tokens -= calls_[last_call_].left == 0 ? 1 : kBundleWork;
+    const double work = calls_[last_call_].left == 0 ? 1 : kBundleWork;
+    if (l.out_since != 0) l.cold.tokens -= work;
+    if (host.back_since != 0) host.cold.tokens -= work;
     if (m.repeat) d.tokens -= kToken;
     m.repeat = false;
     m.out = true;
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -162,15 +162,15 @@
 // ---- Figures ----
 
 // Until a figure has the value: what it counts is over only after the peer has seen it. The last text.
-std::string await_figure(Operated& s, const std::string& line) {
+std::string await_figure(const Program& program, const std::string& line) {
   for (int i = 0; i < kDeadlineMs / 10; ++i) {
-    const auto [status, text] = s.program->operate("GET", "/v1/metrics");
+    const auto [status, text] = program.operate("GET", "/v1/metrics");
     EXPECT_EQ(status, 200);
     if (text.find("\n" + line + "\n") != std::string::npos) return text;
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
   ADD_FAILURE() << "never: " << line;
-  return s.program->operate("GET", "/v1/metrics").second;
+  return program.operate("GET", "/v1/metrics").second;
 }
 
 std::map<std::string, int> numbers(const std::string& text) {
@@ -217,11 +217,11 @@
   s.host.answer("503");
   EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a1");  // once more
   s.host.answer("200");
-  await_figure(s, "proxy_success_total{type=\"safe\"} 1");
+  await_figure(*s.program, "proxy_success_total{type=\"safe\"} 1");
   EXPECT_EQ(s.put("a2", facts("unsafe")), "+OK");
   s.host.next();
   s.host.reset();
-  await_figure(s, "proxy_error_total{type=\"unsafe\"} 1");
+  await_figure(*s.program, "proxy_error_total{type=\"unsafe\"} 1");
   EXPECT_EQ(s.put("a3", facts("keyed", 99, 200)), "+OK");  // given back at its end
   EXPECT_EQ(s.discovery.notice().at("id"), "a2");
   EXPECT_EQ(s.discovery.notice().at("state"), "returned");
@@ -230,7 +230,7 @@
   EXPECT_EQ(s.put("a5", facts("keyed", 99)), "+OK");  // sent once more
   EXPECT_EQ(s.put("a6", facts("nosuch", 99)), "-ERR unknown class");
   for (int i = 0; i < 4; ++i) s.put("b" + std::to_string(i), facts("keyed", 99));
-  const auto found = numbers(await_figure(s, "proxy_overload_total{type=\"keyed\"} 3"));
+  const auto found = numbers(await_figure(*s.program, "proxy_overload_total{type=\"keyed\"} 3"));
   EXPECT_EQ(found.at("proxy_concurrent"), 3);
   EXPECT_EQ(found.at("proxy_dispatches_total"), 3);
   EXPECT_EQ(found.at("proxy_success_total{type=\"safe\"}"), 1);
@@ -253,15 +253,15 @@
   s.host.next();
   s.host.answer("200");
   s.host.next();
-  await_figure(s, "proxy_dispatches_total 3");
+  await_figure(*s.program, "proxy_dispatches_total 3");
   s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 8)}));
-  await_figure(s, "proxy_targets 3");
+  await_figure(*s.program, "proxy_targets 3");
   s.program->signal(SIGHUP);
-  await_figure(s, "proxy_reload_success_total 1");
+  await_figure(*s.program, "proxy_reload_success_total 1");
   s.program->configure("");
   s.program->signal(SIGHUP);
-  await_figure(s, "proxy_reload_failure_total 1");
-  await_figure(s, "proxy_reload_success_total 1");
+  await_figure(*s.program, "proxy_reload_failure_total 1");
+  await_figure(*s.program, "proxy_reload_success_total 1");
 }
 
 // ---- A new version under load ----
@@ -384,6 +384,70 @@
   EXPECT_EQ(s.program->wait(), 0);
 }
 
+// ---- Endpoints out by hand ----
+
+TEST(Suspend, TakesAnEndpointOutUntilItIsPutBack) {
+  Upgraded s;
+  Host other;
+  s.start();
+  for (const std::string id : {"s-9", "S-1", "s-1%20", "7"}) {
+    EXPECT_EQ(s.call("POST", "/v1/endpoints/" + id + "/suspend"), 404) << id;
+    EXPECT_EQ(s.call("POST", "/v1/endpoints/" + id + "/resume"), 404) << id;
+  }
+  EXPECT_EQ(s.call("POST", "/v1/endpoints/s-1/resume"), 200);  // it is in
+  EXPECT_EQ(s.put("a0", facts("keyed")), "+OK");
+  s.host.next();
+  EXPECT_EQ(s.call("POST", "/v1/endpoints/s-1/suspend"), 200);
+  EXPECT_EQ(s.call("POST", "/v1/endpoints/s-1/suspend"), 200);
+  s.host.answer("200");  // what it has it finishes
+  await_figure(*s.program, "proxy_success_total{type=\"keyed\"} 1");
+  await_figure(*s.program, "proxy_targets_disabled 1");
+  EXPECT_EQ(s.put("a1", facts("keyed")), "+OK");
+  // Listed as draining, removed, and listed again; restarted, and upgraded.
+  const auto entry = [&](const std::string& phase) { return member_json("s-1", s.host.address(), 7, phase); };
+  s.discovery.tell(list_json(2, false, {entry("leaving")}));
+  s.discovery.tell(list_json(3, false, {entry("left")}));
+  await_figure(*s.program, "proxy_targets 1");
+  EXPECT_EQ(s.call("POST", "/v1/endpoints/s-1/suspend"), 200);
+  auto again = entry("active");
+  again["up_since_ms"] = int64_t{1} << 45;  // started after it left, whenever a watch hears of both
+  s.discovery.tell(list_json(4, false, {again, member_json("s-2", other.address(), 7)}));
+  EXPECT_EQ(other.next().headers.at("x-call-id"), "a1");
+  other.answer("200");
+  await_figure(*s.program, "proxy_targets 3");
+  await_figure(*s.program, "proxy_targets_disabled 1");
+  s.discovery.tell(list_json(5, false, {member_json("s-2", other.address(), 7, "left")}));
+  await_figure(*s.program, "proxy_targets 2");
+  s.program->kill();
+  s.program->start();
+  await_figure(*s.program, "proxy_targets_disabled 1");
+  s.upgrade();
+  EXPECT_EQ(s.program->wait(), 0);
+  await_figure(*s.next, "proxy_targets_disabled 1");  // once its watch has told it all of this again
+  Socket client = Socket::connect(s.next->port());
+  client.send(put_bytes("a2", facts("keyed")));
+  EXPECT_EQ(client.line(), "+OK");
+  EXPECT_EQ(numbers(s.next->operate("GET", "/v1/metrics").second).at("proxy_dispatches_total"), 0);
+  s.host.drop();
+  EXPECT_EQ(s.next->operate("POST", "/v1/endpoints/s-1/resume").first, 200);
+  EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a2");
+  EXPECT_EQ(numbers(s.next->operate("GET", "/v1/metrics").second).at("proxy_targets_disabled"), 0);
+}
+
+TEST(Suspend, HoldsAnEndpointThatIsNotListedJustNow) {
+  Operated s;
+  s.start();
+  EXPECT_EQ(s.call("POST", "/v1/endpoints/s-1/suspend"), 200);
+  s.discovery.tell(list_json(2, false, {member_json("s-1", s.host.address(), 7, "left")}));
+  await_figure(*s.program, "proxy_targets 1");
+  await_figure(*s.program, "proxy_targets_disabled 0");
+  EXPECT_EQ(s.call("POST", "/v1/endpoints/s-1/resume"), 200);
+  EXPECT_EQ(s.call("POST", "/v1/endpoints/s-1/resume"), 404);
+  s.discovery.tell(list_json(3, false, {member_json("s-1", s.host.address(), 7)}));
+  EXPECT_EQ(s.put("a1", facts("keyed")), "+OK");
+  EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a1");
+}
+
 // ---- New settings ----
 
 // Waits until a class is taken or not: a signal arrives some time after it is sent.
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <set>
 #include <stdexcept>
 
 #include "relay.h"
@@ -813,6 +814,56 @@
   EXPECT_LE(refused[0].retry_after, kSecond);
 }
 
+// ---- Endpoints out by hand ----
+
+TEST(ByHand, AnEndpointThatIsOutGetsNothingWhateverIsListed) {
+  Settings s = plain_settings();
+  Relay relay(s);
+  relay.step(0, {members({member(1), member(2)})});
+  relay.step(1000, {Suspended{{1, 80}, true}, Suspended{{1, 80}, true}});
+  Time now = kSecond;
+  for (uint64_t id = 1; id <= 20; ++id, now += kSecond / 5) {
+    std::vector<Event> events = {relay.message(id, now)};
+    if (id % 3 == 0) events.push_back(members({member(1), member(2)}, MembersChanged::Form::kDelta));
+    for (const Send& send : all_of<Send>(relay.step(now, events))) {
+      EXPECT_EQ(send.endpoint, (Endpoint{2, 80}));
+      relay.step(now + 1000, {ended(send, 0, Outcome::kOk)});
+    }
+  }
+  EXPECT_EQ(relay.avoided(now), 1u);
+  relay.step(now, {Suspended{{1, 80}, false}});
+  EXPECT_EQ(relay.avoided(now), 0u);
+  std::set<uint32_t> used;
+  for (uint64_t id = 21; id <= 60; ++id, now += kSecond / 5) {
+    for (const Send& send : all_of<Send>(relay.step(now, {relay.message(id, now)}))) {
+      used.insert(send.endpoint.address);
+      relay.step(now + 150'000, {ended(send, 0, Outcome::kOk)});
+    }
+  }
+  EXPECT_TRUE(used.contains(1));
+}
+
+// It was restarted meanwhile: what waited for it does not go out at once.
+TEST(ByHand, AnEndpointThatIsPutBackIsWarmedUp) {
+  Settings s = plain_settings();
+  s.slots = 100;
+  s.max_open = 1000;
+  s.weights = Weights::kNominal;
+  Member limited = member(1);
+  limited.weight = 10;
+  Relay relay(s);
+  relay.step(0, {members({limited}), Suspended{{1, 80}, true}});
+  std::vector<Event> events;
+  for (uint64_t id = 1; id <= 60; ++id) events.push_back(relay.message(id, 1000));
+  EXPECT_TRUE(all_of<Send>(relay.step(1000, events)).empty());
+  EXPECT_TRUE(all_of<Send>(relay.idle(2000, kSecond)).empty());
+  const auto early = all_of<Send>(relay.step(kSecond, {Suspended{{1, 80}, false}}));
+  const auto next = all_of<Send>(relay.idle(kSecond, 3 * kSecond, 10'000));
+  // Twice its present capacity for the window of 3 s would push it over: 10 a second, a quarter at first.
+  EXPECT_LE(early.size() + next.size(), 15u);
+  EXPECT_GE(early.size() + next.size(), 3u);
+}
+
 // ---- Upgrade ----
 
 // Calls that the process before has out hold slots, together where they travel together.
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -85,6 +85,7 @@
   Stage s;
   s.config["settings"]["family_info"]["calls_out"] = 1;
   s.config["settings"]["family_info"]["kind_batch"] = {3};
+  s.config["settings"]["categories"][1]["target_s"] = 30.0;
   Program program(s.config);
   program.start();
   Socket client = program.client();
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -48,6 +48,7 @@
     return out;
   }
 
+  size_t avoided(Time now) const { return policy_.avoided(now); }
   size_t owed() const { return checker_.owed(); }
 
  private:
