Keep the classes of open messages; check the operators' address before taking over

A process whose operators' address is taken ends before it has the folder, one that was handed over before it opened stays closed, and a successor that hangs holds its predecessor up once at most.

--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -180,6 +180,13 @@
   });
 }
 
+// One that takes nothing any more must not hold this process up with each parcel.
+bool Handover::give(Parcel::Kind kind, const std::string& text, int descriptor) {
+  if (send(after_, kind, text, descriptor)) return true;
+  if (after_.is_open()) after_.close();
+  return false;
+}
+
 bool Handover::give_folder() {
   listener_.close();  // the successor offers the next one under the same name
   if (!give(Parcel::kFolder, "", lock_.get())) return false;
@@ -187,9 +194,6 @@
   return true;
 }
 
-void Handover::withdraw() {
-  after_.close();
-  offer(std::move(asked_));
-}
+void Handover::withdraw() { offer(std::move(asked_)); }
 
 }  // namespace firspool::relay
--- a/relay/handover.h
+++ b/relay/handover.h
@@ -61,9 +61,7 @@
   // Calls `asked` once, when a process asks to take over. It is then given parcels, kFolder first.
   void offer(std::function<void()> asked);
   bool give_folder();
-  bool give(Parcel::Kind kind, const std::string& text, int descriptor = -1) {
-    return send(after_, kind, text, descriptor);
-  }
+  bool give(Parcel::Kind kind, const std::string& text, int descriptor = -1);
   void hear_successor(Heard heard) { listen_to(after_, std::move(heard)); }
   void withdraw();  // it could not be given: the next that asks is waited for
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace firspool::relay {
 namespace {
@@ -13,6 +14,7 @@
 const std::string kDestination = "destination ";
 const std::string kGone = "gone ";
 const std::string kSuspended = "suspended ";
+const std::string kClass = "class ";  // one that the settings name no more
 const std::string kRevision = "revision";
 const std::string kDestinations = "destinations";
 
@@ -62,6 +64,33 @@
   return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed || outcome == Outcome::kMoot;
 }
 
+std::string class_text(const ClassSettings& c) {
+  return nlohmann::json{{"effect", static_cast<int>(c.effect)},
+                        {"scope", static_cast<int>(c.key_scope)},
+                        {"window", c.key_window},
+                        {"in_order", c.in_order},
+                        {"target", c.target},
+                        {"give_up", c.give_up},
+                        {"worth", c.worth},
+                        {"late_worth", c.late_worth}}
+      .dump();
+}
+
+ClassSettings read_class(const std::string& name, const std::string& text) {
+  const nlohmann::json json = nlohmann::json::parse(text);
+  ClassSettings out;
+  out.name = name;
+  out.effect = static_cast<Effect>(json.at("effect").get<int>());
+  out.key_scope = static_cast<KeyScope>(json.at("scope").get<int>());
+  out.key_window = json.at("window").get<Time>();
+  out.in_order = json.at("in_order").get<bool>();
+  out.target = json.at("target").get<Time>();
+  out.give_up = json.at("give_up").get<Time>();
+  out.worth = json.at("worth").get<double>();
+  out.late_worth = json.at("late_worth").get<double>();
+  return out;
+}
+
 std::string address_text(const tcp::endpoint& address) {
   return address.address().to_string() + ":" + std::to_string(address.port());
 }
@@ -76,6 +105,10 @@
              std::function<void(const tcp::endpoint&)> listening)
     : io_(io),
       config_(config),
+      control_(config.control
+                   ? std::make_unique<Control>(io, *config.control,
+                                               [this](const OperatorCall& call) { return operate(call); })
+                   : nullptr),
       handover_(io, config.state),
       journal_(config.state, config.disk_bytes),
       policy_(config.settings, config.seed),
@@ -98,9 +131,6 @@
       open_timer_(io) {
   recall();
   told(config_.known);
-  if (config_.control) {
-    control_.emplace(io_, *config_.control, [this](const OperatorCall& call) { return operate(call); });
-  }
   if (handover_.taken_over()) take_over();
   handover_.offer([this] { hand_over(); });
   // The process before has listened to discovery up to now, and clients wait.
@@ -127,6 +157,7 @@
     if (name == kDestinations) {
       for (const int destination : fact.get<std::vector<int>>()) directory_.add_destination(destination);
     }
+    if (name.starts_with(kClass)) recall_class(name.substr(kClass.size()), value);
     if (name.starts_with(kSuspended)) directory_.suspend(name.substr(kSuspended.size()));
     if (name.starts_with(kHost)) members.push_back(fact);
     if (name.starts_with(kDestination)) {
@@ -144,6 +175,14 @@
   for (const DestinationMemory& memory : memories) happened(memory);
 }
 
+// What is held of it keeps its rules; nobody hands in more. The next reload forgets it.
+void Relay::recall_class(const std::string& name, const std::string& text) {
+  if (class_of(name) >= 0) return;
+  config_.settings.classes.push_back(read_class(name, text));
+  retired_[name] = {0, config_.settings.classes.back().give_up, true};
+  happened(SettingsChanged{std::make_shared<const Settings>(config_.settings)});
+}
+
 void Relay::remember(const DestinationMemory& memory) {
   const Time offset = wall_now() - steady_now();
   const auto wall = [&](Time t) { return t == 0 ? 0 : t + offset; };
@@ -170,7 +209,7 @@
 
 // Only now messages are taken on or resumed: what discovery had to tell at once has been heard.
 void Relay::open() {
-  if (clients_ || stopping_since_ != 0) return;
+  if (clients_ || stopping_since_ != 0 || handed_over_) return;
   resume();
   clients_.emplace(
       io_, config_.listen, most_clients(config_),
@@ -508,19 +547,22 @@
   }
 }
 
-// A class that is gone stays in the settings for a while, as it was.
+// A class that is gone stays in the settings, as it was: for a while for clients, and for what is held of it.
 void Relay::retire(Settings& next) {
   const Time now = steady_now();
   std::map<std::string, Retired> retired;
-  const size_t named = next.classes.size();
+  std::set<std::string> named;
+  std::set<std::string> used;
+  for (const ClassSettings& c : next.classes) named.insert(c.name);
+  for (const auto& [number, held] : held_) used.insert(held.handed.message_class);
   for (const ClassSettings& old : config_.settings.classes) {
     const auto before = retired_.find(old.name);
-    const auto end = next.classes.begin() + static_cast<std::ptrdiff_t>(named);
-    const bool gone =
-        std::none_of(next.classes.begin(), end, [&](const auto& c) { return c.name == old.name; });
-    const bool again = before != retired_.end() && before->second.gone;
-    const Retired entry = gone && again ? before->second : Retired{now + kRetire, old.give_up, gone};
-    if (entry.until <= now) continue;
+    const bool gone = !named.contains(old.name);
+    const bool again = gone && before != retired_.end() && before->second.gone;
+    const Retired entry = again ? before->second : Retired{now + kRetire, old.give_up, gone};
+    const bool kept = entry.until > now || (gone && used.contains(old.name));
+    journal_.remember(kClass + old.name, kept && gone ? class_text(old) : "");
+    if (!kept) continue;
     retired[old.name] = entry;
     if (gone) next.classes.push_back(old);
   }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -67,6 +68,7 @@
   OperatorReply suspend(const std::string& id, bool out);
   OperatorReply operate(const OperatorCall& call);
   void recall();
+  void recall_class(const std::string& name, const std::string& text);
   void open();
   void resume();
   void take_over();
@@ -101,6 +103,7 @@
   Config config_;
   std::map<std::string, Retired> retired_;
   Directory directory_;
+  std::unique_ptr<Control> control_;  // before the folder is taken over: its address may not be free
   Handover handover_;
   bool handed_over_ = false;  // all but the calls that were out is another process's
   std::map<std::string, Away> away_;
@@ -130,7 +133,6 @@
   std::optional<Clients> clients_;  // once what was taken on before is resumed
   bool draining_ = false;
   Figures counted_;  // what is counted here; the rest is looked up
-  std::optional<Control> control_;
 };
 
 }  // namespace firspool::relay
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -369,6 +369,17 @@
   EXPECT_EQ(ping(kept), "+PONG");
 }
 
+// What it lacks shows before it takes anything over.
+TEST(Upgrade, LeavesTheOwnerAloneWhereItCannotServe) {
+  Upgraded s;
+  s.start();
+  s.config["control"] = "127.0.0.1:" + std::to_string(s.program->operators_port());
+  Program second(s.config);
+  second.succeed(*s.program);
+  EXPECT_TRUE(second.start_refused());
+  EXPECT_EQ(s.call("GET", "/v1/readyz"), 200);
+}
+
 TEST(Upgrade, DoesNotBeginWhileTheOwnerIsSilent) {
   Upgraded s;
   s.start();
@@ -500,6 +511,26 @@
   EXPECT_TRUE(client.line().starts_with("-ERR"));
 }
 
+// A message of a class that is gone keeps its rules, in the next process too.
+TEST(NewSettings, LeaveOpenMessagesTheirClassThroughAnUpgrade) {
+  Upgraded s;
+  s.start();
+  EXPECT_EQ(s.put("a1", facts("safe", 99)), "+OK");
+  s.config["settings"]["categories"].erase(0);
+  s.program->configure(s.config.dump());
+  s.program->signal(SIGHUP);
+  ASSERT_TRUE(s.program->logged("configuration read again"));
+  s.upgrade();
+  EXPECT_EQ(s.program->wait(), 0);
+  s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 99)}));
+  EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a1");
+  s.host.answer("500");
+  EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a1");  // safe: it may go out again
+  Socket client = Socket::connect(s.next->port());
+  client.send(put_bytes("a2", facts("safe")));
+  EXPECT_EQ(client.line(), "-ERR unknown class");
+}
+
 TEST(NewSettings, AreNotTakenInPart) {
   Operated s;
   s.start();
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -132,6 +132,7 @@
   // One call on the operators' address, as it stands in the configuration; the status, and what came with it.
   std::pair<int, std::string> operate(const std::string& method, const std::string& target) const;
   Socket operators() const { return Socket::connect(control_port_); }
+  uint16_t operators_port() const { return control_port_; }
   bool logged(const std::string& start);  // waits for a line that begins so, behind those asked for before
 
  private:
