Pace each destination by the relay's own part of its told limit

Refused calls use the limit up, waits end for all relays within 0.25 s, and one call of each relay every 1.65 s is above the limit again. 332 outages were declared by refusals alone, none of them one.

Lines at fault: fold(AttemptEnded) narrowed only without a told wait; served() capped the pace at the whole limit; unserved() added up waits over a streak; admit() replaced the reported limit by the list's figure.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -65,7 +65,18 @@
 constexpr double kLimitCut = 0.7;    // pace after the first refusal above a limit
 constexpr double kAgainCut = 0.5;    // and after each further one with nothing served between
 constexpr double kLimitGain = 0.03;  // regained, as a part of the pace, with each served call
-constexpr double kLimitBurst = 0.4;  // seconds of the pace that may go at once
+// A told limit is every relay's in equal parts; the pace is held against the own one.
+constexpr double kShareFirst = 1.5;  // until an answer has told the limit: the list's figure is rough
+constexpr double kShareMost = 2;     // while there is room: not all relays have something to send just then
+constexpr double kShareOld = 0.9;    // for a message that has waited: then the others have some that wait too
+constexpr double kShareLow = 0.85;   // with little room left
+constexpr double kOld = 0.4;         // part of the aim after which a message has waited
+constexpr double kRoomLow = 0.3;
+constexpr double kRoomHigh = 0.5;
+constexpr double kRegainBelow = 2;  // seconds in which a pace under the own part grows by e, with room
+constexpr double kRegainAbove = 8;
+constexpr double kRegainMost = 3;         // seconds that one report can stand for
+constexpr double kLimitBurst = 0.4;       // seconds of the pace that may go at once
 constexpr Time kWindowMargin = 50 * kMs;  // a call is under way for a while before its host looks at its key
 constexpr double kShedAbove = 0.9;        // part of max_open above which the least worth is given back
 
@@ -124,11 +135,13 @@
   Time at = 0;
 
   void refill(Time now, double rate, double burst) {
+    if (now <= at) return;  // it may be set to begin later
     tokens = std::min(burst, tokens + rate * seconds(now - at));
     at = now;
   }
   Time ready(Time now, double rate) const {
-    return tokens >= 1 ? now : now + std::max<Time>(1, micros((1 - tokens) / std::max(rate, 1e-6)));
+    if (tokens >= 1) return now;
+    return std::max(now, at) + std::max<Time>(1, micros((1 - tokens) / std::max(rate, 1e-6)));
   }
 };
 
@@ -169,10 +182,12 @@
 struct Lane {
   LaneKey key;
   Time wait_until = 0;
-  double limit = 0;  // calls a second from all relays together; 0: unknown or none
-  double pace = 0;   // own sends a second at most; 0: never refused
-  double paced = 0;  // pace that a served call restores: one cut below that before the refusals in a row
-  Time cut_at = 0;   // when the pace was last cut; calls sent before tell nothing new
+  double limit = 0;   // calls a second from all relays together; 0: unknown or none
+  double pace = 0;    // own sends a second at most; 0: never refused
+  double paced = 0;   // pace that a served call restores: one cut below that before the refusals in a row
+  bool told = false;  // the limit is from a report
+  Time moved_at = 0;  // when a report or a refusal last moved the pace
+  Time cut_at = 0;    // when the pace was last cut; calls sent before tell nothing new
   Pacer pacer;
   double room = 1;         // mean share of the limit that is left, as reported or from refusals
   bool bound = false;      // a message waited for the pace since the last served call
@@ -311,7 +326,9 @@
     d.kind = m.kind;
     d.cap = kBucketCap * batch_of(m);
     if (fresh) d.remembered = {m.destination, d.tokens = d.cap};
-    if (set_.weights != Weights::kNone && m.weight > 0 && host.ready) host.lane->limit = m.weight;
+    if (set_.weights != Weights::kNone && m.weight > 0 && host.ready && !host.lane->told) {
+      take_limit(*host.lane, m.weight);
+    }
   }
 
   void fold(const Suspended& e) {
@@ -505,8 +522,9 @@
         host.avoid_until = 0;
         return served(attempt, l);
       case Outcome::kFull:
-        if (e.wait == 0) narrow(attempt, l);
-        return unserved(attempt, l, false, e.wait > 0);
+        if (above_limit(e)) return hold_share(l);
+        narrow(attempt, l);
+        return unserved(attempt, l, false, e.wait);
       case Outcome::kError:
       case Outcome::kReset:
       case Outcome::kTimeout:
@@ -517,7 +535,7 @@
           learn_latency(d, e.took);
         }
         if (e.outcome != Outcome::kError) avoid(host);
-        return unserved(attempt, l, true, false);
+        return unserved(attempt, l, true, 0);
       case Outcome::kCancelled:
       case Outcome::kMoot:
       case Outcome::kSpoilt:  // spoilt answers come from any host alike: no sign of its health
@@ -533,10 +551,16 @@
 
   // A limit nearly used up makes its route dearer, so that routes with limits of their own are used evenly.
   void heed_report(const AttemptEnded& e, Lane& l) {
-    const double limit = reported(e.report, set_.report_limit).value_or(0);
-    if (limit > 0) l.limit = limit;
+    const auto limit = reported(e.report, set_.report_limit);
+    const double left = std::min(1.0, reported(e.report, set_.report_left).value_or(1));
+    if (limit && *limit == 0 && l.cut_at == 0) l.pace = 0;  // none
+    if (limit && *limit > 0) {
+      l.told = true;
+      take_limit(l, *limit);
+      follow_room(l, left);
+    }
     if (e.outcome != Outcome::kOk && e.outcome != Outcome::kFull) return;
-    const double served = limit > 0 ? std::min(1.0, reported(e.report, set_.report_left).value_or(1)) : 1;
+    const double served = limit && *limit > 0 ? left : 1;
     l.room += 2 * kGain * ((e.outcome == Outcome::kOk ? served : 0) - l.room);
   }
 
@@ -590,7 +614,7 @@
     l.probe_ok = false;
     l.pace = std::max(l.pace, l.paced);
     if (l.bound) l.pace += kLimitGain * l.pace;
-    if (l.limit > 0) l.pace = std::min(l.pace, l.limit);
+    if (l.limit > 0) l.pace = std::min(l.pace, std::min(l.limit, kShareMost * share(l)));
     l.bound = false;
     if (l.out_since == 0) return;
     if (l.suspected && attempt.sent <= l.out_since) {  // the overdue calls were only slow
@@ -603,7 +627,7 @@
     }
   }
 
-  void unserved(const Attempt& attempt, Lane& l, bool hard, bool told) {
+  void unserved(const Attempt& attempt, Lane& l, bool hard, Time wait) {
     watch(l);
     // A call sent later was served: this one was lost, or its endpoint is bad, but the destination is up.
     if (attempt.sent < l.last_served_sent) return;
@@ -618,7 +642,7 @@
       log(l, "fails again");
     }
     // A wait longer than a limit's span tells when a shut destination opens: its return begins there.
-    if (told && l.out_since == 0 && l.wait_until - l.streak_since > kShutSpan) {
+    if (l.out_since == 0 && wait > kShutSpan) {
       go_out(l, "told to wait long", false);
       l.back_since = l.cold.at = l.wait_until;
     }
@@ -699,16 +723,61 @@
     return std::max(even, (l.served.per_second(now_) * memory + 1) / (seen + 1 / even));
   }
 
-  // Refused above a limit that all relays share: send slower, from the own demand seen, and slower again with
-  // each refusal in a row; at random, so that relays turned away together do not come back together.
+  // Own part of what the lane takes from all relays together.
+  double share(const Lane& l) const { return l.limit / set_.relays; }
+
+  // When the limit moves the pace moves along. A relay of many seldom calls: it would be refused before it
+  // learnt anything, and where refused calls use the limit up, one refusal for each relay is too many.
+  void take_limit(Lane& l, double limit) {
+    const double moved = l.limit > 0 ? limit / l.limit : 1;
+    l.pace *= moved;
+    l.paced *= moved;
+    l.limit = limit;
+    if (l.pace > 0 || set_.report_limit < 0) return;
+    l.pace = kShareFirst * share(l);
+    l.pacer = {seconds(random_.between(0, kSecond)), now_};
+    l.moved_at = now_;
+  }
+
+  // What is left of the limit is news of all relays. By time, so that they move alike however often they
+  // call.
+  void follow_room(Lane& l, double left) {
+    const double past = std::min(kRegainMost, seconds(now_ - l.moved_at));
+    l.moved_at = now_;
+    if (left < kRoomLow) l.pace = std::min(l.pace, kShareLow * share(l));
+    if (left <= kRoomHigh) return;
+    l.pace *= std::exp(past / (l.pace < share(l) ? kRegainBelow : kRegainAbove));
+    l.pace = std::min(l.pace, kShareMost * share(l));
+  }
+
+  // The report says that the limit is used up: that explains the refusal, and the limit tells the pace.
+  bool above_limit(const AttemptEnded& e) const {
+    return e.wait <= kShutSpan && reported(e.report, set_.report_limit).value_or(0) > 0 &&
+           reported(e.report, set_.report_left).value_or(1) < kRoomLow;
+  }
+
+  void hold_share(Lane& l) {
+    l.pace = std::min(l.pace, kLimitCut * share(l));
+    restart_pacer(l);
+  }
+
+  // At random, so that relays turned away together do not come back together, nor at the end of a told wait.
+  void restart_pacer(Lane& l) {
+    l.moved_at = now_;
+    l.pacer = {0.5 - seconds(random_.between(0, kSecond)), std::max(now_, l.wait_until)};
+  }
+
+  // Refused for want of capacity, or above a limit that is not told: send slower, from the own demand seen,
+  // and slower again with each refusal in a row.
   void narrow(const Attempt& attempt, Lane& l) {
     if (attempt.sent < l.cut_at) return;
     const bool fresh = l.pace == 0 || l.streak == 0;
     if (l.pace == 0) l.pace = std::max(1.5 * pooled_rate(l), kFirstPace);
+    if (fresh && l.limit > 0) l.pace = std::min(l.pace, share(l));
     l.pace = std::max((fresh ? kLimitCut : kAgainCut) * l.pace, 1 / seconds(longest_));
     if (fresh) l.paced = l.pace;
     l.cut_at = now_;
-    l.pacer = {0.5 - seconds(random_.between(0, kSecond)), now_};
+    restart_pacer(l);
   }
 
   // An outage that rests on suspicion alone is not worth keeping.
@@ -767,7 +836,7 @@
   }
 
   // When this lane may be sent to; kNever: only after some outcome.
-  Time admits(Lane& l) {
+  Time admits(Lane& l, const Message& m) {
     if (l.wait_until > now_) return l.wait_until;
     if (l.out_since != 0) {
       // Without an answer to the last scout another tells little, and would fill the slots.
@@ -777,10 +846,12 @@
       if (l.cold.tokens < 1) return std::min(l.cold.ready(now_, rate), now_ + kSecond);
     }
     if (l.pace > 0) {
-      l.pacer.refill(now_, l.pace, std::max(1.0, kLimitBurst * l.pace));
+      const bool old = l.told && now_ > m.target - micros((1 - kOld) * seconds(m.rules->target));
+      const double pace = old ? std::min(l.pace, kShareOld * share(l)) : l.pace;
+      l.pacer.refill(now_, pace, std::max(1.0, kLimitBurst * l.pace));
       if (l.pacer.tokens < 1) {
         l.bound = true;
-        return l.pacer.ready(now_, l.pace);
+        return l.pacer.ready(now_, pace);
       }
     }
     return now_;
@@ -1027,7 +1098,7 @@
     double best_cost = 0;
     for (const auto& [endpoint, host] : by_destination_[m.in.destination]) {
       if (!host->ready || !in_scope(m, *host)) continue;
-      const Time at = std::max(admits(*host->lane), admits(*host));
+      const Time at = std::max(admits(*host->lane, m), admits(*host));
       if (at > now_) {
         wake(at);
         continue;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -575,6 +575,109 @@
   EXPECT_FALSE(all_of<Send>(relay.idle(6 * kSecond, 19 * kSecond)).empty());  // warm before the messages end
 }
 
+// One of many relays whose receiver tells its limit and what is left of it.
+Settings reporting(int relays) {
+  Settings s = plain_settings();
+  s.relays = relays;
+  s.weights = Weights::kNominal;
+  s.report_left = 0;
+  s.report_limit = 1;
+  return s;
+}
+
+AttemptEnded reported(const Send& send, int attempt, Outcome outcome, float left, float limit,
+                      Time wait = 0) {
+  AttemptEnded out = ended(send, attempt, outcome, 50'000, wait);
+  out.report = {left, limit};
+  return out;
+}
+
+// Sends in so many seconds with a queue that never ends; all calls are served and report the same.
+int served_in(Relay& relay, Time from, Time to, float limit) {
+  int sends = 0;
+  std::vector<Event> events;
+  for (Time t = from; t < to; t += 50'000) {
+    if (t % kSecond == 0) {
+      for (int i = 0; i < 3; ++i) events.push_back(relay.message(static_cast<uint64_t>(t + i + 1), t));
+    }
+    const auto out = all_of<Send>(relay.step(t, events));
+    events.clear();
+    for (const Send& send : out) events.push_back(reported(send, 0, Outcome::kOk, 1, limit));
+    sends += static_cast<int>(out.size());
+  }
+  return sends;
+}
+
+// Above a limit that refused calls use up nothing is served: with more to send than the limit takes, each
+// relay keeps to its own part, and follows the limit when it moves.
+TEST(Fleet, ARelayKeepsToItsPartOfALimit) {
+  Relay relay(reporting(100));
+  Member m = member(1);
+  m.weight = 100;
+  relay.step(0, {members({m})});
+  served_in(relay, kSecond, 6 * kSecond, 100);
+  const int whole = served_in(relay, 6 * kSecond, 26 * kSecond, 100);
+  EXPECT_LE(whole, 20);
+  EXPECT_GE(whole, 16);
+  const int half = served_in(relay, 26 * kSecond, 46 * kSecond, 50);
+  EXPECT_LE(half, 11);
+  EXPECT_GE(half, 8);
+}
+
+// Without a limit the list's rough figure holds nothing back.
+TEST(Fleet, NoLimitToldHoldsNothingBack) {
+  Settings s = reporting(100);
+  Relay relay(s);
+  Member m = member(1);
+  m.weight = 100;
+  relay.step(0, {members({m})});
+  served_in(relay, kSecond, 6 * kSecond, 0);
+  EXPECT_GE(served_in(relay, 6 * kSecond, 16 * kSecond, 0), 30);
+}
+
+// A refusal that reports a used-up limit is no sign of an outage, however many come.
+TEST(Fleet, AUsedUpLimitIsNoOutage) {
+  Relay relay(reporting(100));
+  Member m = member(1);
+  m.weight = 100;
+  relay.step(0, {members({m})});
+  std::map<uint64_t, int> attempts;
+  std::vector<Event> events;
+  int refused = 0;
+  for (Time t = kSecond; t < 15 * kSecond; t += 50'000) {
+    if (t % kSecond == 0) events.push_back(relay.message(static_cast<uint64_t>(t), t));
+    const auto actions = relay.step(t, events);
+    events.clear();
+    for (const Send& send : all_of<Send>(actions)) {
+      ++refused;
+      events.push_back(reported(send, attempts[send.id]++, Outcome::kFull, 0, 100));
+    }
+    for (const Log& log : all_of<Log>(actions)) ADD_FAILURE() << log.text;
+  }
+  EXPECT_GE(refused, 5);
+  EXPECT_LE(refused, 12);
+}
+
+// Relays told the same wait do not come back with its end.
+TEST(Fleet, AWaitsEndIsNotMetByAllAtOnce) {
+  int soon = 0;
+  int later = 0;
+  for (uint64_t seed = 1; seed <= 100; ++seed) {
+    Relay relay(reporting(100), seed);
+    Member m = member(1);
+    m.weight = 50;
+    relay.step(0, {members({m}), relay.message(1, 0)});
+    const auto first = all_of<Send>(relay.idle(50'000, 4 * kSecond));
+    ASSERT_EQ(first.size(), 1u);
+    relay.step(4 * kSecond + 50'000, {reported(first[0], 0, Outcome::kFull, 0, 50, 1'500'000)});
+    const Time end = 5'550'000;
+    soon += static_cast<int>(all_of<Send>(relay.idle(4'100'000, end + 500'000)).size());
+    later += static_cast<int>(all_of<Send>(relay.idle(end + 550'000, end + 6 * kSecond)).size());
+  }
+  EXPECT_LE(soon, 20);
+  EXPECT_GE(later, 80);
+}
+
 // ---- Connections ----
 
 // Calls on connections that idled long are lost, on fresh ones served: the next call opens a fresh one.
