Draw at each relay which of a receiver's equal endpoints is tried first

Line at fault: choose() keeps the first of equal costs in the order of addresses, alike at all relays; the handshake in cost_of() then holds each relay there.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -84,6 +84,7 @@
 constexpr Time kRetryMost = 1500 * kMs;
 
 // Ordering and choice of endpoint.
+constexpr double kLot = 0.01;           // seconds: less than what tells endpoints apart
 constexpr double kSecondsPerPrice = 5;  // seconds of latency that a price of 1 a call is held against
 
 double seconds(Time t) { return static_cast<double>(t) / 1e6; }
@@ -216,6 +217,7 @@
   double base = 0;         // own rate to it before it was taken out
   Pacer cold;
   bool probe_out = false;
+  double lot = 0;  // drawn once: which of equals is tried first, or all relays would try the same
   int calls = 0;
   int conns = 0;
   Time last_used = 0;
@@ -314,15 +316,17 @@
   }
 
   void admit(const Member& m) {
-    Host& host = hosts_[m.endpoint];
+    const auto [place, unheard] = hosts_.try_emplace(m.endpoint);
+    Host& host = place->second;
+    if (unheard) host.lot = seconds(random_.between(0, kSecond));
     host.member = m;
     host.lane = &lane_of(m);
     host.ready = m.listing == Listing::kReady && !host.suspended;
     host.gone = m.listing == Listing::kGone;
     if (host.gone) leaving_.insert(m.endpoint);
     by_destination_[m.destination][m.endpoint] = &host;
-    auto [place, fresh] = destinations_.try_emplace(m.destination);
-    Destination& d = place->second;
+    auto [entry, fresh] = destinations_.try_emplace(m.destination);
+    Destination& d = entry->second;
     d.kind = m.kind;
     d.cap = kBucketCap * batch_of(m);
     if (fresh) d.remembered = {m.destination, d.tokens = d.cap};
@@ -1119,7 +1123,7 @@
   double cost_of(const Host& host) {
     const Latency& latency =
         host.latency.seen > 0 ? host.latency : latency_of(destinations_[host.member.destination]);
-    double cost = latency.mean * (1 + 0.5 * host.calls) / std::max(0.1, host.lane->room);
+    double cost = latency.mean * (1 + 0.5 * host.calls) / std::max(0.1, host.lane->room) + kLot * host.lot;
     if (host.member.zone != set_.zone) cost += kSecondsPerPrice * set_.price_cross_zone;
     if (needs_conn(host)) cost += kSecondsPerPrice * set_.price_handshake;
     if (host.avoid_until > now_) cost += seconds(kAvoidMost);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -575,6 +575,19 @@
   EXPECT_FALSE(all_of<Send>(relay.idle(6 * kSecond, 19 * kSecond)).empty());  // warm before the messages end
 }
 
+// Which of equal endpoints is tried first is drawn: the first of the list would get the calls of all relays.
+TEST(Fleet, EqualEndpointsAreTriedAlike) {
+  int first = 0;
+  for (uint64_t seed = 1; seed <= 100; ++seed) {
+    Relay relay(plain_settings(), seed);
+    const auto sends = all_of<Send>(relay.step(0, {members({member(1), member(2)}), relay.message(1, 0)}));
+    ASSERT_EQ(sends.size(), 1u);
+    first += sends[0].endpoint.address == 1;
+  }
+  EXPECT_GE(first, 30);
+  EXPECT_LE(first, 70);
+}
+
 // One of many relays whose receiver tells its limit and what is left of it.
 Settings reporting(int relays) {
   Settings s = plain_settings();
