Spread the fleet's calls to discovery: backoff with full jitter, by its size

The relays sent to endpoints that were gone.

Lines at fault: Watch::lost() doubled from 50 ms to 2 s without jitter, Watch::Watch() and the restart call at once: 20 to 40 calls a second where 20 can be answered. Watch::line() also started the pauses anew after a line that could not be read.

Ruled out: discovery down (at a lower rate every call succeeds, one in 52 ms); whole lists (each watch begins at the known revision).

--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -13,6 +13,9 @@
 constexpr milliseconds kFirstPause{50};
 constexpr milliseconds kLongestPause{2000};
 constexpr milliseconds kSilence{5000};  // an empty line is due every 2 s
+// For each relay: discovery takes some 50 ms for a call, and gives those up that waited for 2 s.
+constexpr milliseconds kFirstSpan{40};
+constexpr milliseconds kLongestSpan{100};
 constexpr size_t kMostOld = 2;
 constexpr milliseconds kPostTimeout{400};  // the agent is on this machine and answers at once
 constexpr milliseconds kLongestPostPause{200};
@@ -23,6 +26,18 @@
 
 }  // namespace
 
+Backoff::Backoff(int relays, uint64_t seed)
+    : first_(std::max(kFirstPause, relays * kFirstSpan)),
+      longest_(std::max(kLongestPause, relays * kLongestSpan)),
+      span_(first_),
+      random_(seed) {}
+
+milliseconds Backoff::next() {
+  const milliseconds pause(std::uniform_int_distribution<milliseconds::rep>(0, span_.count())(random_));
+  span_ = std::min(2 * span_, longest_);
+  return pause;
+}
+
 // One connection with one endless answer.
 class Watch::Stream : public std::enable_shared_from_this<Stream> {
  public:
@@ -99,7 +114,7 @@
 };
 
 Watch::Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, Revision revision,
-             Told told, std::function<void()> current)
+             Told told, std::function<void()> current, Backoff backoff)
     : io_(io),
       address_(address),
       names_(std::move(names)),
@@ -107,8 +122,8 @@
       told_(std::move(told)),
       current_(std::move(current)),
       pause_(io),
-      back_off_(kFirstPause) {
-  connect();
+      backoff_(std::move(backoff)) {
+  connect_later();
 }
 
 Watch::~Watch() { close(); }
@@ -128,9 +143,15 @@
     old_.front()->close();
     old_.erase(old_.begin());
   }
-  pause_.cancel();
-  back_off_ = kFirstPause;
-  connect();
+  backoff_.reset();
+  connect_later();
+}
+
+void Watch::connect_later() {
+  pause_.expires_after(backoff_.next());
+  pause_.async_wait([this](const Error& error) {
+    if (!error && !stream_) connect();
+  });
 }
 
 void Watch::connect() {
@@ -142,15 +163,10 @@
   stream->close();
   if (stream != stream_) return void(std::erase(old_, stream));
   stream_.reset();
-  pause_.expires_after(back_off_);
-  back_off_ = longer(back_off_);
-  pause_.async_wait([this](const Error& error) {
-    if (!error && !stream_) connect();
-  });
+  connect_later();
 }
 
 bool Watch::line(const std::string& text) {
-  back_off_ = kFirstPause;
   try {
     if (text.find_first_not_of(" \r\t") != std::string::npos) {
       told_(parse_list(nlohmann::json::parse(text), names_));
@@ -158,6 +174,7 @@
   } catch (const std::exception&) {  // unreadable: from the start, on a new connection
     return false;
   }
+  backoff_.reset();
   current_();
   return true;
 }
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -6,10 +6,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -18,6 +20,22 @@
 
 namespace firspool::relay {
 
+// When a relay calls discovery, which all relays share and which deals with one call after another: what
+// ended or began the calls of one relay did so at the others too. Exponential backoff with full jitter.
+class Backoff {
+ public:
+  Backoff(int relays, uint64_t seed);
+
+  std::chrono::milliseconds next();  // the pause before the next call; the one after it may be longer
+  void reset() { span_ = first_; }   // a call was answered
+
+ private:
+  std::chrono::milliseconds first_;
+  std::chrono::milliseconds longest_;
+  std::chrono::milliseconds span_;
+  std::mt19937_64 random_;
+};
+
 // Follows the watch for as long as it lives: a connection that ends or falls silent is opened again.
 // Discovery may move to another address: what the old one has written still counts, so it is heard to its
 // end.
@@ -28,7 +46,7 @@
 
   // `current` is called after each line: what there was to tell has been told.
   Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, Revision revision,
-        Told told, std::function<void()> current);
+        Told told, std::function<void()> current, Backoff backoff);
   ~Watch();
 
   void move(const tcp::endpoint& address);
@@ -39,6 +57,7 @@
   class Stream;
 
   void connect();
+  void connect_later();
   void lost(const std::shared_ptr<Stream>& stream);
   bool line(const std::string& text);
 
@@ -49,7 +68,7 @@
   Told told_;
   std::function<void()> current_;
   boost::asio::steady_timer pause_;
-  std::chrono::milliseconds back_off_;
+  Backoff backoff_;
   std::shared_ptr<Stream> stream_;
   std::vector<std::shared_ptr<Stream>> old_;  // of addresses before, until they end
 };
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -126,7 +126,8 @@
       watch_(
           io, config.discovery, config.names,
           [this, known = config.known.revision] { return std::max(known, directory_.revision()); },
-          [this](const HostList& list) { told(list); }, [this] { open(); }),
+          [this](const HostList& list) { told(list); }, [this] { open(); },
+          Backoff(config.settings.relays, config.seed)),
       listening_(std::move(listening)),
       open_timer_(io) {
   recall();
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -5,6 +5,7 @@
 
 #include "clients.h"
 #include "config.h"
+#include "discovery.h"
 #include "journal.h"
 #include "peers.h"
 #include "resp.h"
@@ -30,6 +31,28 @@
   }
 }
 
+// Discovery deals with one call after another: relays that start together must not call it together.
+TEST(Backoff, SpreadsTheFirstCallsOfAFleet) {
+  int soon = 0;
+  for (uint64_t seed = 1; seed <= 100; ++seed) soon += Backoff(100, seed).next().count() < 500;
+  EXPECT_LE(soon, 25);
+  EXPECT_LE(Backoff(1, 1).next().count(), 50);  // alone there is nobody to wait for
+}
+
+TEST(Backoff, GrowsWhileCallsFailAndStartsAnew) {
+  const auto longest = [](Backoff& backoff, int calls) {
+    std::chrono::milliseconds out{0};
+    for (int i = 0; i < calls; ++i) out = std::max(out, backoff.next());
+    return out.count();
+  };
+  Backoff backoff(100, 7);
+  EXPECT_LE(longest(backoff, 1), 4000);
+  EXPECT_GT(longest(backoff, 100), 8000);
+  EXPECT_LE(longest(backoff, 100), 10'000);
+  backoff.reset();
+  EXPECT_LE(longest(backoff, 1), 4000);
+}
+
 TEST(Resp, RefusesWhatItWouldHaveToHoldWithoutBound) {
   for (const std::string bytes :
        {"*17\r\n", "*1\r\n$65537\r\n", "*1\r\n$1234567890123", "x", "*1\r\n*1\r\n"}) {
