Learn of idle connections and full tables only where the endpoint is up

Lines at fault: learn_idle() and the close_idle() in fold(AttemptEnded): the two or three calls that a rare caller loses before it knows of an outage pass for full tables and dropped connections.

Ruled out: connections closed as idle (0) and full tables (744 open at most, no connect failed elsewhere).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -37,6 +37,7 @@
 constexpr Time kKeepRegain = 30 * kSecond;  // the age at which an idle connection is trusted doubles so fast
 constexpr int kKeepCut = 3;                 // that age, in parts of the age at which a call on one was lost
 constexpr double kFullTable = 0.05;         // more calls without a connection: idle ones fill the tables
+constexpr Time kProofSpan = 2500 * kMs;     // served so soon after, it was up all along
 constexpr double kStaleAbove = 0.2;  // calls on idle connections fail by so much more than on fresh ones
 constexpr Time kFirstLatency = 400 * kMs;  // assumed before anything was measured
 constexpr double kSlowDevs = 6;         // a call older than mean + this many deviations is suspiciously slow
@@ -221,6 +222,9 @@
   int calls = 0;
   int conns = 0;
   Time last_used = 0;
+  int unconnected = 0;  // calls that got no connection since the last served one
+  Time unconnected_since = 0;
+  Time lost_idle = 0;  // how long the connection of the last call had idled, where that was lost
   int fails = 0;
   Time avoid_until = 0;
   Latency latency;
@@ -510,7 +514,7 @@
 
   void learn(const AttemptEnded& e, const Attempt& attempt, Host& host, Lane& l, Destination& d) {
     heed_report(e, l);
-    learn_idle(e.outcome, attempt, kinds_[d.kind], l);
+    learn_idle(e.outcome, attempt, host, l);
     // Slow or lost: whether calls past the suspicious age are served after all.
     if (e.outcome == Outcome::kOk || e.outcome == Outcome::kTimeout) {
       const bool overdue = e.took > latency_of(d).suspicious();
@@ -593,17 +597,30 @@
   }
 
   // Idle connections can be dropped unseen: the age at which they are still used shrinks when calls on them
-  // are lost more often than on fresh ones. Where it errs it costs handshakes.
-  void learn_idle(Outcome outcome, const Attempt& attempt, Kind& k, const Lane& l) {
-    if (outcome == Outcome::kConnectFailed && l.out_since == 0) k.unconnected += kGain * (1 - k.unconnected);
-    if (outcome == Outcome::kOk) k.unconnected *= 1 - kFullTable / 2;
-    if (outcome != Outcome::kOk && outcome != Outcome::kReset && outcome != Outcome::kTimeout) return;
-    const double failed = outcome == Outcome::kOk ? 0 : 1;
-    double& share = attempt.idle == 0 ? lost_ : stale_;
-    share += kGain * (failed - share);
-    if (failed == 0 || attempt.idle == 0 || stale_ < lost_ + kStaleAbove) return;
-    keep_ = std::min(keep(), std::max(attempt.idle / kKeepCut, set_.tick));
-    keep_at_ = now_;
+  // are lost more often than on fresh ones. Where it errs it costs handshakes. A call that is lost or gets no
+  // connection tells of connections only where the endpoint serves soon after: else it was down.
+  void learn_idle(Outcome outcome, const Attempt& attempt, Host& host, const Lane& l) {
+    double& unconnected = kinds_[host.member.kind].unconnected;
+    if (outcome == Outcome::kConnectFailed) {
+      if (host.unconnected++ == 0) host.unconnected_since = now_;
+      host.lost_idle = 0;
+    } else if (outcome == Outcome::kReset || outcome == Outcome::kTimeout) {
+      if (attempt.idle == 0) lost_ += kGain * (1 - lost_);
+      host.lost_idle = attempt.idle;
+    } else if (outcome == Outcome::kOk) {
+      const int unconnected_calls = std::exchange(host.unconnected, 0);
+      const bool up = l.out_since == 0 && now_ - host.unconnected_since <= kProofSpan;
+      if (up) unconnected += (1 - std::pow(1 - kGain, unconnected_calls)) * (1 - unconnected);
+      unconnected *= 1 - kFullTable / 2;
+      double& share = attempt.idle == 0 ? lost_ : stale_;
+      share -= kGain * share;
+      const Time idle = std::exchange(host.lost_idle, 0);
+      if (idle == 0 || l.out_since != 0) return;
+      stale_ += kGain * (1 - stale_);
+      if (stale_ < lost_ + kStaleAbove) return;
+      keep_ = std::min(keep(), std::max(idle / kKeepCut, set_.tick));
+      keep_at_ = now_;
+    }
   }
 
   void avoid(Host& host) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -732,6 +732,34 @@
             1u);
 }
 
+// An outage is none: what another destination serves meanwhile stays connected, and what comes back too.
+TEST(Connections, AnOutageSaysNothingOfIdleOnes) {
+  Relay relay(plain_settings());
+  relay.step(0, {members({member(1, 1), member(2, 2)})});
+  uint64_t id = 0;
+  std::map<uint64_t, int> attempts;
+  std::vector<Event> events;
+  std::vector<Action> after;
+  for (Time t = kSecond; t < 30 * kSecond; t += 50'000) {
+    if (t % kSecond == 0) {
+      events.push_back(relay.message(++id, t, 0, 1));
+      events.push_back(relay.message(++id, t, 0, 2));
+    }
+    const auto actions = relay.step(t, events);
+    events.clear();
+    const bool down = t > 5 * kSecond && t < 10 * kSecond;
+    for (const Send& send : all_of<Send>(actions)) {
+      const bool lost = down && send.endpoint.address == 1;
+      const Outcome outcome = !lost             ? Outcome::kOk
+                              : t < 6 * kSecond ? Outcome::kReset
+                                                : Outcome::kConnectFailed;
+      events.push_back(ended(send, attempts[send.id]++, outcome, 20'000));
+    }
+    for (const CloseIdle& close : all_of<CloseIdle>(actions)) after.push_back(close);
+  }
+  EXPECT_TRUE(after.empty());
+}
+
 // An unsafe call keeps no slot for its whole life: lost answers would fill the slots one by one.
 TEST(Outages, UnsafeCallsAreBoundedToo) {
   Relay relay(plain_settings());
