Let a tenant's bucket at each relay hold what chance alone brings

Line at fault: tenant_share() holds two seconds of the even part of a quota, one message at least: 1.2 with 100 relays. Ruled out: an uneven spread of tenants over relays.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -81,6 +81,10 @@
 constexpr Time kWindowMargin = 50 * kMs;  // a call is under way for a while before its host looks at its key
 constexpr double kShedAbove = 0.9;        // part of max_open above which the least worth is given back
 
+// A tenant's messages that a relay takes for within the quota after a lull: of a small even part chance alone
+// brings as many.
+constexpr double kTenantLeast = 5;
+
 constexpr Time kRetryLeast = 300 * kMs;  // what a refused client is told to wait
 constexpr Time kRetryMost = 1500 * kMs;
 
@@ -422,8 +426,9 @@
     if (quota <= 0) return 1;
     auto [it, fresh] = tenant_pacers_.try_emplace(tenant);
     Pacer& pacer = it->second;
-    if (fresh) pacer = {2 * quota, now_};
-    pacer.refill(now_, quota, std::max(1.0, 2 * quota));
+    const double burst = std::max(kTenantLeast, 2 * quota);
+    if (fresh) pacer = {burst, now_};
+    pacer.refill(now_, quota, burst);
     if (pacer.tokens < 1) return set_.over_share_worth;
     pacer.tokens -= 1;
     return 1;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -588,6 +588,34 @@
   EXPECT_LE(first, 70);
 }
 
+// A relay's part of a quota is less than a message a second: three at once are chance, not a tenant beyond
+// it.
+TEST(Fleet, ChanceIsNotBeyondAQuota) {
+  Settings s = plain_settings();
+  s.relays = 100;
+  s.slots = 1;
+  s.tenants = {{"small", 60}, {"large", 6000}};
+  s.over_share_worth = 0.05;
+  Relay relay(s);
+  relay.step(0, {members({member(1)})});
+  std::vector<Event> events;
+  for (uint64_t id = 1; id <= 4; ++id) {
+    Arrival in = relay.message(id, static_cast<Time>(id) * 1000);
+    in.tenant = id == 4;
+    events.push_back(in);
+  }
+  std::vector<uint64_t> order;
+  for (Time t = 10'000; t < 2 * kSecond; t += 50'000) {
+    const auto sends = all_of<Send>(relay.step(t, events));
+    events.clear();
+    for (const Send& send : sends) {
+      order.push_back(send.id);
+      events.push_back(ended(send, 0, Outcome::kOk, 40'000));
+    }
+  }
+  EXPECT_EQ(order, (std::vector<uint64_t>{1, 2, 3, 4}));
+}
+
 // One of many relays whose receiver tells its limit and what is left of it.
 Settings reporting(int relays) {
   Settings s = plain_settings();
