Let what is left of a limit set the pace of messages that have waited

Lines at fault: kShareMost and kShareOld in admits(): at nine tenths of a limit a queue at 0.9 of the own part never empties, whatever is left.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -67,9 +67,10 @@
 constexpr double kAgainCut = 0.5;    // and after each further one with nothing served between
 constexpr double kLimitGain = 0.03;  // regained, as a part of the pace, with each served call
 // A told limit is every relay's in equal parts; the pace is held against the own one.
-constexpr double kShareFirst = 1.5;  // until an answer has told the limit: the list's figure is rough
-constexpr double kShareMost = 2;     // while there is room: not all relays have something to send just then
-constexpr double kShareOld = 0.9;    // for a message that has waited: then the others have some that wait too
+constexpr double kShareFirst = 1.2;  // until an answer has told the limit: the list's figure is rough
+constexpr double kShareMost = 1.4;   // while there is room: not all relays have something to send just then
+constexpr double kShareOld = 0.85;   // for a message that has waited: then the others have some that wait too
+constexpr double kShareRoom = 0.3;   // and more of it by the share of the limit that is left, up to this
 constexpr double kShareLow = 0.85;   // with little room left
 constexpr double kOld = 0.4;         // part of the aim after which a message has waited
 constexpr double kRoomLow = 0.3;
@@ -191,6 +192,7 @@
   double limit = 0;   // calls a second from all relays together; 0: unknown or none
   double pace = 0;    // own sends a second at most; 0: never refused
   double paced = 0;   // pace that a served call restores: one cut below that before the refusals in a row
+  double left = 1;    // share of the limit that was left at the last report
   bool told = false;  // the limit is from a report
   Time moved_at = 0;  // when a report or a refusal last moved the pace
   Time cut_at = 0;    // when the pace was last cut; calls sent before tell nothing new
@@ -770,6 +772,7 @@
   void follow_room(Lane& l, double left) {
     const double past = std::min(kRegainMost, seconds(now_ - l.moved_at));
     l.moved_at = now_;
+    l.left = left;
     if (left < kRoomLow) l.pace = std::min(l.pace, kShareLow * share(l));
     if (left <= kRoomHigh) return;
     l.pace *= std::exp(past / (l.pace < share(l) ? kRegainBelow : kRegainAbove));
@@ -873,7 +876,7 @@
     }
     if (l.pace > 0) {
       const bool old = l.told && now_ > m.target - micros((1 - kOld) * seconds(m.rules->target));
-      const double pace = old ? std::min(l.pace, kShareOld * share(l)) : l.pace;
+      const double pace = old ? std::min(l.pace, (kShareOld + kShareRoom * l.left) * share(l)) : l.pace;
       l.pacer.refill(now_, pace, std::max(1.0, kLimitBurst * l.pace));
       if (l.pacer.tokens < 1) {
         l.bound = true;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -633,47 +633,64 @@
   return out;
 }
 
-// Sends in so many seconds with a queue that never ends; all calls are served and report the same.
-int served_in(Relay& relay, Time from, Time to, float limit) {
-  int sends = 0;
-  std::vector<Event> events;
-  for (Time t = from; t < to; t += 50'000) {
-    if (t % kSecond == 0) {
-      for (int i = 0; i < 3; ++i) events.push_back(relay.message(static_cast<uint64_t>(t + i + 1), t));
+// A relay with a queue that never ends; all calls are served, and report the same.
+struct Busy {
+  Relay relay;
+  std::vector<Event> events = {};
+
+  int sends(Time from, Time to, float limit, float left = 0.5) {
+    int count = 0;
+    for (Time t = from; t < to; t += 50'000) {
+      if (t % kSecond == 0) {
+        for (int i = 0; i < 3; ++i) events.push_back(relay.message(static_cast<uint64_t>(t + i + 1), t));
+      }
+      const auto out = all_of<Send>(relay.step(t, events));
+      events.clear();
+      for (const Send& send : out) events.push_back(reported(send, 0, Outcome::kOk, left, limit));
+      count += static_cast<int>(out.size());
     }
-    const auto out = all_of<Send>(relay.step(t, events));
-    events.clear();
-    for (const Send& send : out) events.push_back(reported(send, 0, Outcome::kOk, 1, limit));
-    sends += static_cast<int>(out.size());
+    return count;
   }
-  return sends;
-}
+};
 
 // Above a limit that refused calls use up nothing is served: with more to send than the limit takes, each
 // relay keeps to its own part, and follows the limit when it moves.
 TEST(Fleet, ARelayKeepsToItsPartOfALimit) {
-  Relay relay(reporting(100));
+  Busy busy{Relay(reporting(100))};
   Member m = member(1);
   m.weight = 100;
-  relay.step(0, {members({m})});
-  served_in(relay, kSecond, 6 * kSecond, 100);
-  const int whole = served_in(relay, 6 * kSecond, 26 * kSecond, 100);
+  busy.relay.step(0, {members({m})});
+  busy.sends(kSecond, 6 * kSecond, 100);
+  const int whole = busy.sends(6 * kSecond, 26 * kSecond, 100);
   EXPECT_LE(whole, 20);
   EXPECT_GE(whole, 16);
-  const int half = served_in(relay, 26 * kSecond, 46 * kSecond, 50);
+  const int half = busy.sends(26 * kSecond, 46 * kSecond, 50);
   EXPECT_LE(half, 11);
   EXPECT_GE(half, 8);
 }
 
+// With much of the limit left not all relays are busy: a little more than the own part; with little left,
+// less.
+TEST(Fleet, ARelayUsesTheRoomThatIsLeft) {
+  Busy busy{Relay(reporting(100))};
+  Member m = member(1);
+  m.weight = 100;
+  busy.relay.step(0, {members({m})});
+  busy.sends(kSecond, 6 * kSecond, 100, 1);
+  const int much = busy.sends(6 * kSecond, 46 * kSecond, 100, 1);
+  EXPECT_GE(much, 43);
+  EXPECT_LE(much, 48);
+  EXPECT_LE(busy.sends(46 * kSecond, 86 * kSecond, 100, 0.1F), 37);
+}
+
 // Without a limit the list's rough figure holds nothing back.
 TEST(Fleet, NoLimitToldHoldsNothingBack) {
-  Settings s = reporting(100);
-  Relay relay(s);
+  Busy busy{Relay(reporting(100))};
   Member m = member(1);
   m.weight = 100;
-  relay.step(0, {members({m})});
-  served_in(relay, kSecond, 6 * kSecond, 0);
-  EXPECT_GE(served_in(relay, 6 * kSecond, 16 * kSecond, 0), 30);
+  busy.relay.step(0, {members({m})});
+  busy.sends(kSecond, 6 * kSecond, 0);
+  EXPECT_GE(busy.sends(6 * kSecond, 16 * kSecond, 0), 30);
 }
 
 // A refusal that reports a used-up limit is no sign of an outage, however many come.
