--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -82,9 +82,10 @@
 constexpr Time kWindowMargin = 50 * kMs;  // a call is under way for a while before its host looks at its key
 constexpr double kShedAbove = 0.9;        // part of max_open above which the least worth is given back
 
-// A tenant's messages that a relay takes for within the quota after a lull: of a small even part chance alone
-// brings as many.
-constexpr double kTenantLeast = 5;
+// Of a tenant's quota a relay takes so many seconds at once, and what chance brings beside: so many standard
+// deviations. Of a small even part that is the most.
+constexpr double kQuotaSpan = 2;
+constexpr double kQuotaChance = 3;
 
 constexpr Time kRetryLeast = 300 * kMs;  // what a refused client is told to wait
 constexpr Time kRetryMost = 1500 * kMs;
@@ -428,9 +429,9 @@
     if (quota <= 0) return 1;
     auto [it, fresh] = tenant_pacers_.try_emplace(tenant);
     Pacer& pacer = it->second;
-    const double burst = std::max(kTenantLeast, 2 * quota);
+    const double burst = kQuotaSpan * quota + kQuotaChance * std::sqrt(kQuotaSpan * quota);
     if (fresh) pacer = {burst, now_};
-    pacer.refill(now_, quota, burst);
+    pacer.refill(now_, quota, std::max(1.0, burst));
     if (pacer.tokens < 1) return set_.over_share_worth;
     pacer.tokens -= 1;
     return 1;
