Write the log as events with fields; trace a message by its id at level debug

Need: the relay's log named no message, so tracing one took a patched build, and it was prose. What every process will need (addresses, clocks, backoff, log) moved from relay/ to net/.

--- /dev/null
+++ b/net/address.cpp
@@ -0,0 +1,24 @@
+#include "address.h"
+
+#include <charconv>
+#include <stdexcept>
+
+namespace firspool::net {
+
+tcp::endpoint parse_address(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(text.substr(0, colon), error);
+  uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  if (colon == std::string::npos || error || std::from_chars(text.data() + colon + 1, end, port).ptr != end) {
+    throw std::invalid_argument("'" + text + "' is not an address with a port");
+  }
+  return {address, port};
+}
+
+std::string text_of(const tcp::endpoint& address) {
+  return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
+}  // namespace firspool::net
--- /dev/null
+++ b/net/address.h
@@ -0,0 +1,15 @@
+// Addresses as the project writes them: "127.0.0.1:80".
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+namespace firspool::net {
+
+using tcp = boost::asio::ip::tcp;
+
+// Throws std::invalid_argument.
+tcp::endpoint parse_address(const std::string& text);
+std::string text_of(const tcp::endpoint& address);
+
+}  // namespace firspool::net
--- /dev/null
+++ b/net/backoff.h
@@ -0,0 +1,26 @@
+// When one of many callers calls a service that all share and that deals with one call after another: what
+// ended or began the calls of one did so at the others too. Exponential backoff with full jitter (Brooker
+// 2015).
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <random>
+
+namespace firspool::net {
+
+class Backoff {
+ public:
+  Backoff(int callers, uint64_t seed);
+
+  std::chrono::milliseconds next();  // the pause before the next call; the one after it may be longer
+  void reset() { span_ = first_; }   // a call was answered
+
+ private:
+  std::chrono::milliseconds first_;
+  std::chrono::milliseconds longest_;
+  std::chrono::milliseconds span_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace firspool::net
--- /dev/null
+++ b/net/log.cpp
@@ -0,0 +1,61 @@
+#include "log.h"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <array>
+#include <memory>
+#include <stdexcept>
+
+namespace firspool::net::log {
+namespace {
+
+constexpr std::array kLevels = {spdlog::level::debug, spdlog::level::info, spdlog::level::warn,
+                                spdlog::level::err};
+constexpr std::array kNames = {"debug", "info", "warn", "error"};
+
+Level least = Level::kInfo;
+
+// Each process has one thread that logs; the sink flushes each line.
+spdlog::logger& logger() {
+  static const auto kLogger = [] {
+    auto out = std::make_unique<spdlog::logger>("log", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    out->set_pattern("time=%Y-%m-%dT%H:%M:%S.%fZ level=%l %v", spdlog::pattern_time_type::utc);
+    out->set_level(spdlog::level::debug);
+    return out;
+  }();
+  return *kLogger;
+}
+
+}  // namespace
+
+void set_level(const std::string& name) {
+  for (size_t i = 0; i < kNames.size(); ++i) {
+    if (name == kNames[i]) return void(least = static_cast<Level>(i));
+  }
+  throw std::invalid_argument("'" + name + "' is no log level: debug, info, warn or error");
+}
+
+bool on(Level level) { return level >= least; }
+
+namespace detail {
+
+void append(std::string& line, std::string_view value) {
+  if (!value.empty() && value.find_first_of(" \"=\\\r\n\t") == std::string_view::npos) {
+    line += value;
+    return;
+  }
+  line += '"';
+  for (const char c : value) {
+    if (c == '"' || c == '\\') line += '\\';
+    line += c == '\n' || c == '\r' || c == '\t' ? ' ' : c;
+  }
+  line += '"';
+}
+
+void write(Level level, const std::string& line) {
+  logger().log(kLevels[static_cast<size_t>(level)], std::string_view(line));
+}
+
+}  // namespace detail
+}  // namespace firspool::net::log
--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -1,9 +1,7 @@
 #include "directory.h"
 
 #include <algorithm>
-#include <charconv>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 
 namespace firspool::relay {
 namespace {
@@ -16,18 +14,6 @@
 
 }  // namespace
 
-tcp::endpoint parse_address(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address(text.substr(0, colon), error);
-  uint16_t port = 0;
-  const char* end = text.data() + text.size();
-  if (colon == std::string::npos || error || std::from_chars(text.data() + colon + 1, end, port).ptr != end) {
-    throw std::invalid_argument("'" + text + "' is not an address with a port");
-  }
-  return {address, port};
-}
-
 HostList parse_list(const nlohmann::json& json, const ListNames& names) {
   HostList out;
   out.revision = json.at("revision").get<int64_t>();
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -1,7 +1,6 @@
 // The list of hosts as discovery tells it, and the handles under which the module knows them.
 #pragma once
 
-#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
@@ -11,10 +10,12 @@
 #include <vector>
 
 #include "firspool/policy.h"
+#include "net/address.h"
 
 namespace firspool::relay {
 
-using tcp = boost::asio::ip::tcp;
+using net::parse_address;
+using net::tcp;
 
 struct ListedHost {
   std::string id;
@@ -37,9 +38,6 @@
   bool operator==(const ListNames&) const = default;
 };
 
-// "127.0.0.1:80"; throws std::invalid_argument.
-tcp::endpoint parse_address(const std::string& text);
-
 // Throws std::exception on what is not a list.
 HostList parse_list(const nlohmann::json& json, const ListNames& names);
 
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -1,6 +1,5 @@
 #include "discovery.h"
 
-#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace firspool::relay {
@@ -11,33 +10,15 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kFirstPause{50};
-constexpr milliseconds kLongestPause{2000};
 constexpr milliseconds kSilence{5000};  // an empty line is due every 2 s
-// For each relay: discovery takes some 50 ms for a call, and gives those up that waited for 2 s.
-constexpr milliseconds kFirstSpan{40};
-constexpr milliseconds kLongestSpan{100};
 constexpr size_t kMostOld = 2;
 constexpr milliseconds kPostTimeout{400};  // the agent is on this machine and answers at once
 constexpr milliseconds kLongestPostPause{200};
 constexpr size_t kMostLine = 8 * 1024 * 1024;
 constexpr size_t kMostNotices = 200;  // in one request: well under the largest body
 
-milliseconds longer(milliseconds pause) { return std::min(2 * pause, kLongestPause); }
-
 }  // namespace
 
-Backoff::Backoff(int relays, uint64_t seed)
-    : first_(std::max(kFirstPause, relays * kFirstSpan)),
-      longest_(std::max(kLongestPause, relays * kLongestSpan)),
-      span_(first_),
-      random_(seed) {}
-
-milliseconds Backoff::next() {
-  const milliseconds pause(std::uniform_int_distribution<milliseconds::rep>(0, span_.count())(random_));
-  span_ = std::min(2 * span_, longest_);
-  return pause;
-}
-
 // One connection with one endless answer.
 class Watch::Stream : public std::enable_shared_from_this<Stream> {
  public:
@@ -299,7 +280,7 @@
   }
   out_ = 0;
   pause_.expires_after(back_off_);
-  back_off_ = std::min(longer(back_off_), kLongestPostPause);
+  back_off_ = std::min(2 * back_off_, kLongestPostPause);
   pause_.async_wait([this](const Error& error) {
     if (!error) proceed();
   });
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -11,30 +11,16 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <random>
 #include <string>
 #include <vector>
 
 #include "directory.h"
 #include "message.h"
+#include "net/backoff.h"
 
 namespace firspool::relay {
 
-// When a relay calls discovery, which all relays share and which deals with one call after another: what
-// ended or began the calls of one relay did so at the others too. Exponential backoff with full jitter.
-class Backoff {
- public:
-  Backoff(int relays, uint64_t seed);
-
-  std::chrono::milliseconds next();  // the pause before the next call; the one after it may be longer
-  void reset() { span_ = first_; }   // a call was answered
-
- private:
-  std::chrono::milliseconds first_;
-  std::chrono::milliseconds longest_;
-  std::chrono::milliseconds span_;
-  std::mt19937_64 random_;
-};
+using net::Backoff;
 
 // Follows the watch for as long as it lives: a connection that ends or falls silent is opened again.
 // Discovery may move to another address: what the old one has written still counts, so it is heard to its
--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -11,12 +11,13 @@
 #include <cerrno>
 #include <chrono>
 #include <cstddef>
-#include <cstdio>
 #include <cstring>
 #include <stdexcept>
 #include <thread>
 #include <vector>
 
+#include "net/log.h"
+
 namespace firspool::relay {
 namespace {
 
@@ -164,7 +165,7 @@
   if (socket.get() < 0 || ::bind(socket.get(), reinterpret_cast<const sockaddr*>(&address), size) != 0 ||
       ::listen(socket.get(), 4) != 0) {
     // Some platforms refuse local sockets. Only an upgrade under load needs one.
-    std::fprintf(stderr, "no handover: no local socket: %s\n", std::strerror(errno));
+    net::log::warn("no_handover", "why", std::strerror(errno));
     return;
   }
   asked_ = std::move(asked);
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -1,4 +1,5 @@
-// Wiring and signals.
+// Wiring, flags and signals.
+#include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -6,6 +7,7 @@
 #include <exception>
 
 #include "config.h"
+#include "net/log.h"
 #include "relay.h"
 
 namespace {
@@ -20,16 +22,24 @@
 
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
+  using namespace firspool;
+  CLI::App app(
+      "A message relay. All but the log's level is told by the environment: PROXY_CONFIG, PROXY_STATE.");
+  app.footer("Example: PROXY_CONFIG=config.json PROXY_STATE=state umberhoist --log-level debug");
+  std::string level = "info";
+  app.add_option("--log-level", level, "debug (a line for each step of each message), info, warn or error");
+  CLI11_PARSE(app, argc, argv);
   try {
+    net::log::set_level(level);
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context io(1);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
-    firspool::relay::Relay relay(io, firspool::relay::load_config(), [](const auto& address) {
-      std::fprintf(stderr, "listening on %s:%u\n", address.address().to_string().c_str(), address.port());
+    relay::Relay relay(io, relay::load_config(), [](const auto& address) {
+      net::log::info("listening", "address", net::text_of(address));
     });
     if (const auto control = relay.control_address()) {
-      std::fprintf(stderr, "operators at %s:%u\n", control->address().to_string().c_str(), control->port());
+      net::log::info("operators", "address", net::text_of(*control));
     }
     await_signal(signals, relay);
     io.run();
--- a/relay/message.h
+++ b/relay/message.h
@@ -1,11 +1,11 @@
 // A message as a client hands it in, and the notice that may end it.
 #pragma once
 
-#include <chrono>
 #include <cstdint>
 #include <string>
 
 #include "firspool/policy.h"
+#include "net/clock.h"
 
 namespace firspool::relay {
 
@@ -25,18 +25,8 @@
   Time after = 0;         // with returned: when to come again; 0: not told
 };
 
-// For the module and time-outs.
-inline Time steady_now() {
-  return std::chrono::duration_cast<std::chrono::microseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
-// For what outlasts the process.
-inline Time wall_now() {
-  return std::chrono::duration_cast<std::chrono::microseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
+using net::at_time;
+using net::steady_now;
+using net::wall_now;
 
 }  // namespace firspool::relay
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <cstdio>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "net/log.h"
+
 namespace firspool::relay {
 namespace {
 
@@ -91,12 +92,10 @@
   return out;
 }
 
-std::string address_text(const tcp::endpoint& address) {
-  return address.address().to_string() + ":" + std::to_string(address.port());
-}
-
-std::chrono::steady_clock::time_point at_time(Time t) {
-  return std::chrono::steady_clock::time_point(std::chrono::microseconds(t));
+const char* name_of(Outcome outcome) {
+  constexpr const char* kNames[] = {"ok",    "error",     "full", "timeout", "connect_failed",
+                                    "reset", "cancelled", "moot", "spoilt"};
+  return kNames[static_cast<size_t>(outcome)];
 }
 
 }  // namespace
@@ -330,7 +329,7 @@
   uint64_t number = 0;
   while (auto parcel = handover_.next()) {
     if (parcel->kind == Parcel::kListener) {
-      const bool same = config_.listen.port() == 0 || parcel->text == address_text(config_.listen);
+      const bool same = config_.listen.port() == 0 || parcel->text == net::text_of(config_.listen);
       if (same) listener_ = std::move(parcel->descriptor);
       return;
     }
@@ -409,7 +408,7 @@
   }
   handed_over_ = true;
   events_.clear();
-  std::fprintf(stderr, "handing over to another process\n");
+  net::log::info("handing_over");
   const auto tell = [&](const Endpoint& endpoint, Time since, const nlohmann::json& messages) {
     const ListedHost* host = directory_.find(endpoint);
     const nlohmann::json call = {
@@ -426,7 +425,7 @@
   }
   for (const auto& [id, away] : away_) tell(away.call.endpoint, away.call.sent, {{id, away.attempt}});
   const int listener = clients_ ? clients_->listener() : -1;
-  handover_.give(Parcel::kListener, listener < 0 ? "" : address_text(clients_->address()), listener);
+  handover_.give(Parcel::kListener, listener < 0 ? "" : net::text_of(clients_->address()), listener);
   if (clients_) {
     clients_->hand_over([this](const std::string& state, int descriptor) {
       handover_.give(Parcel::kClient, state, descriptor);
@@ -475,6 +474,8 @@
   }
   if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) {
     ++figures.overload;
+    net::log::debug("put", "id", handed.id, "class", handed.message_class, "destination", handed.destination,
+                    "life_ms", handed.life / kMs, "answer", kBusy);
     return answer(kBusy);
   }
   const uint64_t number = ++last_number_;
@@ -498,6 +499,7 @@
   for (const std::string& id : directory_.prune(wall)) journal_.remember(kGone + id, "");
   if (!change) return;
   const auto members = change->members;
+  net::log::debug("list", "revision", directory_.revision(), "changed", members->size());
   happened(std::move(*change));
   for (const Member& member : *members) {
     const ListedHost* host = directory_.find(member.endpoint);
@@ -541,10 +543,10 @@
     retire(next.settings);
     apply(next);
     ++counted_.reload_success;
-    std::fprintf(stderr, "configuration read again\n");
+    net::log::info("reloaded");
   } catch (const std::exception& error) {
     ++counted_.reload_failure;
-    std::fprintf(stderr, "configuration stays as it was: %s\n", error.what());
+    net::log::warn("reload_rejected", "why", error.what());
   }
 }
 
@@ -603,6 +605,8 @@
     return false;
   const auto wait = waits_.find(lane_of(host->member));
   if (wait != waits_.end() && wait->second > steady_now()) return false;
+  net::log::debug("call", "id", held->second.handed.id, "attempt", call.attempt, "destination",
+                  held->second.handed.destination, "host", host->id, "timeout_ms", call.timeout / kMs);
   return journal_.attempt(held->second.handed.id, call.attempt, wall_now(), host->member.zone);
 }
 
@@ -618,6 +622,10 @@
     until = std::max(until, steady_now() + end.wait);
   }
   if (held != held_.end()) {
+    net::log::debug("call_ended", "id", held->second.handed.id, "attempt", end.attempt, "destination",
+                    held->second.handed.destination, "host", host == nullptr ? "" : host->id.c_str(),
+                    "outcome", name_of(end.outcome), "took_ms", end.took / kMs, "wait_ms", end.wait / kMs,
+                    "final", static_cast<int>(end.final));
     if (end.final) {
       if (end.outcome == Outcome::kOk) ++counted_.classes[held->second.handed.message_class].success;
       finish(end.id, {});
@@ -683,6 +691,8 @@
         ++figures.overload;
         happened(Withdrawn{item.number});
       }
+      net::log::debug("put", "id", handed.id, "class", handed.message_class, "destination",
+                      handed.destination, "life_ms", handed.life / kMs, "answer", line->second);
       if (!held->second.accepted) {
         numbers_.erase(handed.id);
         held_.erase(held);
@@ -742,7 +752,7 @@
   } else if (const auto* memory = std::get_if<Remember>(&action)) {
     remember(memory->memory);
   } else if (const auto* log = std::get_if<Log>(&action)) {
-    std::fprintf(stderr, "%s\n", log->text.c_str());
+    net::log::info("decision", "text", log->text);
   }
 }
 
@@ -764,6 +774,12 @@
 // The message is over; with a notice, that is still owed.
 void Relay::finish(uint64_t number, std::optional<Notice> notice) {
   const auto held = held_.find(number);
+  net::log::debug("end", "id", held->second.handed.id, "destination", held->second.handed.destination,
+                  "state",
+                  !notice            ? "settled"
+                  : notice->returned ? "returned"
+                                     : "failed",
+                  "after_ms", notice ? notice->after / kMs : 0);
   if (notice) {
     ClassFigures& figures = counted_.classes[held->second.handed.message_class];
     ++(notice->returned ? figures.overload : figures.error);
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -30,10 +30,6 @@
 constexpr double kMostReported = 1e9;
 constexpr std::string_view kVersion = "HTTP/1.";
 
-std::chrono::steady_clock::time_point at_time(Time t) {
-  return std::chrono::steady_clock::time_point(std::chrono::microseconds(t));
-}
-
 // A status line with 200, also where nothing behind it can be read.
 bool says_ok(std::string_view head) {
   constexpr std::string_view kOk = " 200";
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -67,7 +67,7 @@
   const auto size = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + name.size());
   ASSERT_EQ(::bind(taken.fd(), reinterpret_cast<const sockaddr*>(&address), size), 0);
   s.program->start();
-  EXPECT_TRUE(s.program->logged("no handover: "));
+  EXPECT_TRUE(s.program->logged("no_handover"));
   EXPECT_EQ(s.put("m-1", facts("keyed")), "+OK");
   s.host.next();
   s.host.answer("200 OK");
@@ -546,7 +546,7 @@
   s.config["settings"]["categories"].erase(0);
   s.program->configure(s.config.dump());
   s.program->signal(SIGHUP);
-  ASSERT_TRUE(s.program->logged("configuration read again"));
+  ASSERT_TRUE(s.program->logged("reloaded"));
   s.upgrade();
   EXPECT_EQ(s.program->wait(), 0);
   s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 99)}));
@@ -591,7 +591,7 @@
     s.program->configure(text);
     s.program->signal(SIGHUP);
     // Its log says so; the class of the file stays unknown.
-    ASSERT_TRUE(s.program->logged("configuration stays as it was")) << text;
+    ASSERT_TRUE(s.program->logged("reload_rejected")) << text;
     EXPECT_NE(s.put("a1", facts("fresh")), "+OK") << text;
   }
   s.program->configure(s.config.dump());
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -277,7 +277,7 @@
     }
     ::setenv("PROXY_CONFIG", config.c_str(), 1);
     ::setenv("PROXY_STATE", folder.c_str(), 1);
-    ::execl(UMBERHOIST, UMBERHOIST, nullptr);
+    ::execl(UMBERHOIST, UMBERHOIST, "--log-level", level_.c_str(), nullptr);
     ::_exit(127);
   }
   ::close(pipe[1]);
@@ -295,13 +295,18 @@
 
 void Program::start(int descriptors) {
   launch(descriptors);
+  const auto tells = [](const std::string& text, const std::string& event) {
+    return text.find(" event=" + event + " ") != std::string::npos;
+  };
   std::string line = log_.line();
-  if (line.starts_with("no handover: ")) lines_.push_back(std::exchange(line, log_.line()));
-  if (line.starts_with("operators at ")) {
-    control_port_ = static_cast<uint16_t>(std::stoi(line.substr(line.rfind(':') + 1)));
-    line = log_.line();
+  for (; !line.empty() && !tells(line, "listening"); line = log_.line()) {
+    if (tells(line, "operators")) {
+      control_port_ = static_cast<uint16_t>(std::stoi(line.substr(line.rfind(':') + 1)));
+    } else {
+      lines_.push_back(line);
+    }
   }
-  ASSERT_TRUE(line.starts_with("listening on ")) << line;
+  ASSERT_TRUE(tells(line, "listening")) << line;
   port_ = static_cast<uint16_t>(std::stoi(line.substr(line.rfind(':') + 1)));
   drain_ = std::thread([this] {  // so that a full pipe never stops the program
     char bytes[4096];
@@ -326,10 +331,12 @@
   return {std::stoi(answer->first.substr(answer->first.find(' ') + 1)), answer->body};
 }
 
-bool Program::logged(const std::string& start) {
+bool Program::logged(const std::string& event) {
   std::unique_lock lock(mutex_);
   const auto there = [&] {
-    while (!lines_.empty() && !lines_.front().starts_with(start)) lines_.pop_front();
+    while (!lines_.empty() && (lines_.front() + " ").find(" event=" + event + " ") == std::string::npos) {
+      lines_.pop_front();
+    }
     return !lines_.empty();
   };
   if (!changed_.wait_for(lock, std::chrono::milliseconds(kDeadlineMs), there)) return false;
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -122,6 +122,7 @@
   void start(int descriptors = 0);
   bool start_refused();  // it ends by itself, with a failure, and says why in one line
   void succeed(const Program& before) { state_ = before.state(); }  // shares its folder
+  void log_at(const std::string& level) { level_ = level; }         // from the next start on
   void configure(const std::string& text);  // replaces the file; it is read at a start or on SIGHUP
   void signal(int number);
   int wait();  // exit status; minus the signal that ended it
@@ -133,13 +134,14 @@
   std::pair<int, std::string> operate(const std::string& method, const std::string& target) const;
   Socket operators() const { return Socket::connect(control_port_); }
   uint16_t operators_port() const { return control_port_; }
-  bool logged(const std::string& start);  // waits for a line that begins so, behind those asked for before
+  bool logged(const std::string& event);  // waits for its line, behind those asked for before
 
  private:
   void launch(int descriptors);
 
   std::filesystem::path folder_;
   std::filesystem::path state_;
+  std::string level_ = "info";
   pid_t child_ = -1;
   uint16_t port_ = 0;
   uint16_t control_port_ = 0;  // 0: the configuration has none
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -60,6 +60,20 @@
   EXPECT_EQ(id_of(s.host.next()), "00000000000000b2");
 }
 
+// So that one message can be followed by its id through every relay that had it.
+TEST(Program, TellsEachStepOfAMessageAtDebug) {
+  Stage s;
+  s.program.log_at("debug");
+  s.program.start();
+  EXPECT_EQ(s.put("9b1f03aa5c7e2d41", kFacts), "+OK");
+  s.host.next();
+  s.host.answer("200");
+  for (const char* step : {"put id=9b1f03aa5c7e2d41", "call id=9b1f03aa5c7e2d41",
+                           "call_ended id=9b1f03aa5c7e2d41", "end id=9b1f03aa5c7e2d41"}) {
+    EXPECT_TRUE(s.program.logged(step)) << step;
+  }
+}
+
 // What a tenant sends beyond its share is worth little, and leaves the slots to the others.
 TEST(Program, CountsAMessageAgainstItsOwnTenantsShare) {
   Stage s;
