The lab: real relay processes with faults between them, checked over the whole history

Need: every part of the fleet to come must be proved with several processes and faults between them; the tests played one relay against one host. Change: turntally lab check, run and compare. Stand-ins of receivers, discovery and clients, forwarders on every link, sixteen faults by timetable or drawn from the seed, seven invariants over the whole history, reports with plots; scripts/demo and scripts/test set everything up. Off in the deploy build.

--- /dev/null
+++ b/cli/lab.cpp
@@ -0,0 +1,241 @@
+// turntally lab: check, run, compare.
+#include <unistd.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "command.h"
+#include "lab/compare.h"
+
+namespace firspool::cli {
+namespace {
+
+namespace fs = std::filesystem;
+using namespace lab;
+
+struct RunOptions {
+  std::string file;
+  uint64_t seed = 1;
+  std::string out;
+  std::string relay;
+  std::string level = "info";
+  bool json = false;
+  bool plots = true;
+};
+
+struct CompareOptions {
+  std::string file;
+  std::string a;
+  std::string b;
+  std::string seeds = "1..5";
+  std::string out;
+  bool json = false;
+};
+
+std::string beside_this() { return fs::read_symlink("/proc/self/exe").parent_path() / "umberhoist"; }
+
+std::string program(const std::string& option, const std::string& given) {
+  const std::string path = given.empty() ? beside_this() : given;
+  if (::access(path.c_str(), X_OK) != 0 || fs::is_directory(path)) {
+    throw net::BadInput(option + " " + path + ": is no program that can be run; build it, or name another");
+  }
+  return fs::absolute(path);
+}
+
+// A folder of its own for each run.
+std::string new_folder(const std::string& given, const std::string& name, uint64_t seed) {
+  if (!given.empty()) {
+    if (fs::exists(given) && !fs::is_empty(given)) throw net::BadInput("--out " + given + ": is not empty");
+    fs::create_directories(given);
+    return fs::absolute(given);
+  }
+  const std::string base = "logs/lab/" + name + "-" + std::to_string(seed);
+  std::string path = base;
+  for (int i = 2; fs::exists(path); ++i) path = base + "." + std::to_string(i);
+  fs::create_directories(path);
+  return fs::absolute(path);
+}
+
+std::vector<uint64_t> seed_list(const std::string& text) {
+  unsigned long long from = 0;
+  unsigned long long to = 0;
+  int used = 0;
+  const int read = std::sscanf(text.c_str(), "%llu..%llu%n", &from, &to, &used);
+  if (read != 2 || used != static_cast<int>(text.size()) || from > to || to - from > 9999) {
+    throw net::BadInput("--seeds " + text + ": write FROM..TO, such as 1..5");
+  }
+  std::vector<uint64_t> out;
+  for (unsigned long long seed = from; seed <= to; ++seed) out.push_back(seed);
+  return out;
+}
+
+void print_progress(const std::string& line, bool last) {
+  static int seconds = 0;
+  if (::isatty(2) != 0) {
+    std::fprintf(stderr, "\r%s\x1b[K%s", line.c_str(), last ? "\n" : "");
+  } else if (last || ++seconds % 5 == 0) {
+    std::fprintf(stderr, "%s\n", line.c_str());
+  }
+}
+
+struct Outcome {
+  Figures figures;
+  std::vector<Verdict> verdicts;
+  std::string summary;
+};
+
+Outcome run_once(const RunOptions& options, const Scenario& scenario, const std::string& folder,
+                 const std::string& relay) {
+  const Plan plan = draw_plan(scenario, options.seed);
+  Played played = play(scenario, plan, {relay, folder, options.level, print_progress});
+  Outcome out;
+  out.verdicts = check(played.history, rules_of(scenario, plan));
+  out.figures = figures_of(scenario, played);
+  out.summary = summary(played.history, out.verdicts);
+  write_folder({folder, options.file, relay, options.plots}, scenario, plan, played, out.figures,
+               out.verdicts);
+  return out;
+}
+
+int run(const RunOptions& options) {
+  const Scenario scenario = read_scenario(options.file);
+  const std::string relay = program("--relay", options.relay);
+  const std::string folder = new_folder(options.out, scenario.name, options.seed);
+  const Outcome out = run_once(options, scenario, folder, relay);
+  if (options.json) {
+    std::printf("%s\n", to_json(out.figures).dump(2).c_str());
+  } else {
+    const Figures& f = out.figures;
+    std::printf(
+        "%s, seed %llu: worth %.4f, in time %.4f, late %.4f, lost %.4f; p50 %.3f s, p99 %.3f s; %.3f "
+        "attempts\n",
+        scenario.name.c_str(), static_cast<unsigned long long>(options.seed), f.worth, f.in_time, f.late,
+        f.lost, f.latency.p50, f.latency.p99, f.attempts);
+    std::printf("lab: p99 %.2f ms late%s; report: %s/report.md\n", 1000 * f.late_lab.p99_s,
+                f.measured ? "" : ", NOT MEASURED: the machine is too busy for these figures",
+                folder.c_str());
+  }
+  std::printf("%s\n", out.summary.c_str());
+  return held(out.verdicts) ? kHeld : kBroken;
+}
+
+int look(const RunOptions& options) {
+  const Scenario scenario = read_scenario(options.file);
+  const Plan plan = draw_plan(scenario, options.seed);
+  if (options.json) {
+    std::printf("%s", plan.text().c_str());
+    return kHeld;
+  }
+  size_t endpoints = 0;
+  for (const ReceiverPlan& r : plan.receivers) endpoints += r.endpoints.size();
+  std::printf("%s: %zu relays in %zu zones, %zu receivers with %zu endpoints\n", scenario.name.c_str(),
+              plan.relays.size(), scenario.zones.size(), plan.receivers.size(), endpoints);
+  std::printf("seed %llu: %zu messages in %.1f s (%.1f a second), ends after %.1f s or a little later\n",
+              static_cast<unsigned long long>(options.seed), plan.arrivals.size(), scenario.seconds,
+              static_cast<double>(plan.arrivals.size()) / scenario.seconds, plan.end_s);
+  for (const FaultPlan& f : plan.faults) {
+    const char* target = target_of(f.fault.kind) == Target::kRelays      ? "relays"
+                         : target_of(f.fault.kind) == Target::kReceivers ? "receivers"
+                                                                         : "discovery";
+    std::printf("  at %7.2f s  %-14s for %6.2f s  %zu %s\n", f.fault.at_s,
+                fault_names()[static_cast<size_t>(f.fault.kind)].c_str(), f.fault.for_s, f.who.size(),
+                target);
+  }
+  return kHeld;
+}
+
+int compare(const CompareOptions& options) {
+  const Scenario scenario = read_scenario(options.file);
+  const std::string builds[] = {program("--a", options.a), program("--b", options.b)};
+  const std::string folder = new_folder(options.out, scenario.name + "-compare", 0);
+  std::vector<Pair> pairs;
+  bool all_held = true;
+  bool measured = true;
+  for (const uint64_t seed : seed_list(options.seeds)) {
+    Pair pair{seed, {}, {}};
+    for (size_t turn = 0; turn < 2; ++turn) {
+      const size_t side = (turn + seed) % 2;  // who is first changes with the seed
+      RunOptions one;
+      one.file = options.file;
+      one.seed = seed;
+      one.plots = false;
+      const std::string here = folder + "/" + (side == 0 ? "a" : "b") + "-" + std::to_string(seed);
+      fs::create_directories(here);
+      const Outcome out = run_once(one, scenario, here, builds[side]);
+      (side == 0 ? pair.a : pair.b) = out.figures;
+      all_held = all_held && held(out.verdicts);
+      measured = measured && out.figures.measured;
+      std::fprintf(stderr, "seed %llu %s: worth %.4f, %s\n", static_cast<unsigned long long>(seed),
+                   side == 0 ? "a" : "b", out.figures.worth,
+                   out.summary.substr(out.summary.rfind("invariants")).c_str());
+    }
+    pairs.push_back(pair);
+  }
+  const auto all = differences(pairs);
+  if (options.json) {
+    nlohmann::ordered_json json = nlohmann::ordered_json::array();
+    for (const Difference& d : all) {
+      json.push_back({{"figure", d.figure},
+                      {"a", d.a},
+                      {"b", d.b},
+                      {"low", d.low},
+                      {"high", d.high},
+                      {"by_seed", d.by_seed}});
+    }
+    std::printf("%s\n", json.dump(2).c_str());
+  } else {
+    std::printf("%s%zu seeds by turns; runs in %s%s\n", table(all).c_str(), pairs.size(), folder.c_str(),
+                measured ? "" : "; NOT MEASURED: the lab was late in some run");
+  }
+  if (!all_held) std::fprintf(stderr, "invariants were broken: see the reports\n");
+  return all_held ? kHeld : kBroken;
+}
+
+}  // namespace
+
+void add_lab(CLI::App& app, int& status) {
+  CLI::App* lab =
+      app.add_subcommand("lab", "Play real processes with faults between them, and check what must hold.");
+  lab->require_subcommand(1);
+  lab->footer("Example: turntally lab run lab/scenarios/herd.toml --seed 3");
+
+  static RunOptions run_options;
+  CLI::App* run_command =
+      lab->add_subcommand("run", "Play a scenario; writes a folder with events, figures and a report.");
+  run_command->add_option("FILE", run_options.file, "the scenario, in TOML")->required();
+  run_command->add_option("--seed", run_options.seed, "what is drawn, to the byte (default 1)");
+  run_command->add_option("--out", run_options.out, "the run's folder (default logs/lab/NAME-SEED)");
+  run_command->add_option("--relay", run_options.relay,
+                          "the relay program (default: umberhoist beside turntally)");
+  run_command->add_option("--log-level", run_options.level,
+                          "of the relays (default info); debug traces each message");
+  run_command->add_flag("--json", run_options.json, "figures as JSON");
+  run_command->add_flag("!--no-plots", run_options.plots, "leave gnuplot out");
+  run_command->footer("Example: turntally lab run lab/scenarios/calm.toml --seed 3 --out logs/calm-3");
+  run_command->callback([&status] { status = run(run_options); });
+
+  static RunOptions check_options;
+  CLI::App* check_command = lab->add_subcommand("check", "Say what a scenario would do; plays nothing.");
+  check_command->add_option("FILE", check_options.file, "the scenario, in TOML")->required();
+  check_command->add_option("--seed", check_options.seed, "what is drawn (default 1)");
+  check_command->add_flag("--plan", check_options.json, "every arrival and fault, a line each");
+  check_command->footer("Example: turntally lab check lab/scenarios/calm.toml --seed 3");
+  check_command->callback([&status] { status = look(check_options); });
+
+  static CompareOptions compare_options;
+  CLI::App* compare_command = lab->add_subcommand("compare", "Play two builds by turns over the same seeds.");
+  compare_command->add_option("FILE", compare_options.file, "the scenario, in TOML")->required();
+  compare_command->add_option("--a", compare_options.a, "a relay program")->required();
+  compare_command->add_option("--b", compare_options.b, "the other one")->required();
+  compare_command->add_option("--seeds", compare_options.seeds, "FROM..TO (default 1..5)");
+  compare_command->add_option("--out", compare_options.out, "the runs' folder");
+  compare_command->add_flag("--json", compare_options.json, "differences as JSON");
+  compare_command->footer(
+      "Example: turntally lab compare lab/scenarios/herd.toml --a build-old/umberhoist --b build/umberhoist "
+      "--seeds 1..8");
+  compare_command->callback([&status] { status = compare(compare_options); });
+}
+
+}  // namespace firspool::cli
--- /dev/null
+++ b/lab/platform.cpp
@@ -0,0 +1,276 @@
+#include "platform.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace firspool::lab {
+namespace {
+
+namespace http = boost::beast::http;
+using Error = boost::system::error_code;
+using nlohmann::json;
+
+constexpr double kQuiet = 2;  // an empty line while nothing changes
+
+int index_of(std::string_view target) {
+  const size_t at = target.find("index=");
+  int out = 0;
+  if (at == std::string_view::npos) return -1;
+  std::from_chars(target.data() + at + 6, target.data() + target.size(), out);
+  return out;
+}
+
+}  // namespace
+
+class Platform::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(Platform& owner, tcp::socket socket)
+      : owner_(&owner), socket_(std::move(socket)), timer_(owner.world_.io), late_(owner.world_.io) {
+    Error ignored;
+    relay_ = owner.world_.relay_of(socket_.remote_endpoint(ignored));
+    socket_.set_option(tcp::no_delay(true), ignored);
+  }
+
+  void read() {
+    parser_.emplace();
+    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](const Error& error, size_t) {
+      error ? self->end() : self->call();
+    });
+  }
+
+  bool watching() const { return watching_; }
+
+  // A change is listed: heard after a while.
+  void changed(const Change& change, double late) {
+    pending_.push_back({owner_->world_.now() + late, change});
+    if (pending_.size() == 1) wait_for_change();
+  }
+
+  void end() {
+    if (owner_ == nullptr) return;
+    const auto self = shared_from_this();
+    Platform& owner = *std::exchange(owner_, nullptr);
+    Error ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+    late_.cancel();
+    owner.open_.remove(self);
+  }
+
+  void disown() { owner_ = nullptr; }
+
+ private:
+  void call() {
+    if (owner_ == nullptr) return;
+    const auto& request = parser_->get();
+    const std::string_view target(request.target().data(), request.target().size());
+    if (request.method() == http::verb::post && target == "/v2/finals") return finals(request.body());
+    if (request.method() != http::verb::get || !target.starts_with("/api/targets")) return answer(404, "");
+    const double at = owner_->turn();
+    const double latest = owner_->world_.now() + owner_->world_.scenario.discovery_give_up_s;
+    timer_.expires_at(owner_->world_.point(std::min(at, latest)));
+    const bool stream = target.find("stream=1") != std::string_view::npos;
+    timer_.async_wait([self = shared_from_this(), stream, given_up = at > latest,
+                       index = index_of(target)](const Error& error) {
+      if (error || self->owner_ == nullptr) return;
+      if (given_up || self->owner_->down_) return self->answer(503, "");
+      stream ? self->watch(index) : self->whole();
+    });
+  }
+
+  void whole() {
+    tell_all();
+    answer(200, owner_->list(relay_).dump());
+  }
+
+  void tell_all() {
+    for (size_t p = 0; p < owner_->entries_.size(); ++p) note_told(p, owner_->entries_[p].phase);
+  }
+
+  void note_told(size_t place, const std::string& phase) {
+    const auto& where = owner_->world_.places()[place];
+    owner_->world_.note({0, What::kTold, relay_, where.receiver, where.endpoint, -1, 0, 0, phase});
+  }
+
+  void finals(const std::string& body) {
+    std::vector<std::pair<int, json>> told;
+    std::istringstream lines(body);
+    for (std::string line; std::getline(lines, line);) {
+      const json notice = json::parse(line, nullptr, false);
+      if (notice.is_discarded() || !notice.contains("id") || !notice.contains("state"))
+        return answer(400, "");
+      told.emplace_back(owner_->world_.find(notice["id"].get<std::string>()), notice);
+    }
+    for (const auto& [message, notice] : told) {
+      if (message < 0) continue;
+      owner_->world_.note({0, What::kNotice, relay_, -1, -1, message, notice.value("after_ms", 0.0) / 1000, 0,
+                           notice["state"].get<std::string>()});
+    }
+    answer(204, "");
+  }
+
+  void answer(unsigned status, const std::string& body) {
+    response_ = {};
+    response_.version(11);
+    response_.result(status);
+    response_.body() = body;
+    response_.prepare_payload();
+    http::async_write(socket_, response_, [self = shared_from_this()](const Error& error, size_t) {
+      error ? self->end() : self->read();
+    });
+  }
+
+  void watch(int index) {
+    watching_ = true;
+    std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\nTransfer-Encoding: chunked\r\n\r\n";
+    json line = {{"revision", owner_->revision_}, {"complete", false}, {"members", json::array()}};
+    const bool known = index >= 1 && index <= owner_->revision_;
+    if (known) {
+      for (const Change& change : owner_->changes_) {
+        if (change.revision <= index) continue;
+        line["members"].push_back(owner_->member(relay_, change.place, change.phase, change.up_since_ms));
+        note_told(change.place, change.phase);
+      }
+    } else {
+      line = owner_->list(relay_);
+      tell_all();
+    }
+    write(head + chunk(line.dump() + "\n"));
+    quiet();
+  }
+
+  static std::string chunk(const std::string& text) {
+    std::ostringstream out;
+    out << std::hex << text.size() << "\r\n" << text << "\r\n";
+    return out.str();
+  }
+
+  void quiet() {
+    timer_.expires_after(std::chrono::milliseconds(static_cast<int>(kQuiet * 1000)));
+    timer_.async_wait([self = shared_from_this()](const Error& error) {
+      if (error || self->owner_ == nullptr) return;
+      self->write(chunk("\n"));
+      self->quiet();
+    });
+  }
+
+  void wait_for_change() {
+    late_.expires_at(owner_->world_.point(pending_.front().first));
+    late_.async_wait([self = shared_from_this()](const Error& error) {
+      if (error || self->owner_ == nullptr) return;
+      const Change change = self->pending_.front().second;
+      self->pending_.erase(self->pending_.begin());
+      json line = {{"revision", change.revision}, {"complete", false}, {"members", json::array()}};
+      line["members"].push_back(
+          self->owner_->member(self->relay_, change.place, change.phase, change.up_since_ms));
+      self->note_told(change.place, change.phase);
+      self->write(chunk(line.dump() + "\n"));
+      if (!self->pending_.empty()) self->wait_for_change();
+    });
+  }
+
+  void write(const std::string& bytes) {
+    queue_ += bytes;
+    if (!writing_.empty()) return;
+    writing_.swap(queue_);
+    boost::asio::async_write(socket_, boost::asio::buffer(writing_),
+                             [self = shared_from_this()](const Error& error, size_t) {
+                               if (error) return self->end();
+                               self->writing_.clear();
+                               if (!self->queue_.empty()) self->write("");
+                             });
+  }
+
+  Platform* owner_;
+  tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer late_;
+  int relay_ = -1;
+  bool watching_ = false;
+  std::vector<std::pair<double, Change>> pending_;
+  std::string queue_;
+  std::string writing_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  http::response<http::string_body> response_;
+};
+
+Platform::Platform(World& world)
+    : world_(world),
+      acceptor_(world.io, world.discovery_address()),
+      entries_(world.places().size()),
+      random_(world.plan.seed, 77) {
+  accept();
+}
+
+Platform::~Platform() {
+  for (const auto& session : open_) session->disown();
+}
+
+void Platform::accept() {
+  acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) return;
+    if (!error) {
+      open_.push_back(std::make_shared<Session>(*this, std::move(socket)));
+      open_.back()->read();
+    }
+    accept();
+  });
+}
+
+double Platform::turn() {
+  busy_until_ = std::max(busy_until_, world_.now()) + world_.scenario.discovery_call_ms / 1000;
+  return busy_until_;
+}
+
+json Platform::member(int relay, size_t place, const std::string& phase, int64_t up_since_ms) const {
+  const auto& where = world_.places()[place];
+  const ReceiverPlan& receiver = world_.plan.receivers[static_cast<size_t>(where.receiver)];
+  const EndpointPlan& endpoint = receiver.endpoints[static_cast<size_t>(where.endpoint)];
+  const double weight = receiver.limit > 0 ? receiver.limit : receiver.capacity;
+  return {{"id", endpoint.id},
+          {"host_port", net::text_of(world_.to_endpoint_address(relay, place))},
+          {"locality", world_.scenario.zones[static_cast<size_t>(endpoint.zone)]},
+          {"flavor", world_.scenario.kinds[static_cast<size_t>(receiver.kind)].name},
+          {"cell", receiver.number},
+          {"phase", phase},
+          {"size", weight},
+          {"up_since_ms", up_since_ms}};
+}
+
+json Platform::list(int relay) const {
+  json out = {{"revision", revision_}, {"complete", true}, {"members", json::array()}};
+  for (size_t p = 0; p < entries_.size(); ++p) {
+    if (entries_[p].phase == "left") continue;
+    out["members"].push_back(member(relay, p, entries_[p].phase, entries_[p].up_since_ms));
+  }
+  return out;
+}
+
+void Platform::set(size_t place, const std::string& phase) {
+  Entry& entry = entries_[place];
+  if (entry.phase == phase) return;
+  if (entry.phase == "left") entry.up_since_ms = net::wall_now() / 1000;
+  entry.phase = phase;
+  changes_.push_back({++revision_, place, phase, entry.up_since_ms});
+  const net::Range& late = world_.scenario.discovery_late_s;
+  const double after = random_.between(late.low, late.high);
+  for (const auto& session : open_) {
+    if (session->watching()) session->changed(changes_.back(), after);
+  }
+}
+
+void Platform::down(bool out) {
+  down_ = out;
+  if (!out) return;
+  for (const auto& session : std::list(open_)) {
+    if (session->watching()) session->end();
+  }
+}
+
+}  // namespace firspool::lab
--- /dev/null
+++ b/lab/platform.h
@@ -0,0 +1,52 @@
+// The platform's side: discovery, which deals with one call after another and lists late, and takes notices.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <vector>
+
+#include "world.h"
+
+namespace firspool::lab {
+
+class Platform {
+ public:
+  explicit Platform(World& world);  // listens at once
+  ~Platform();
+
+  nlohmann::json list(int relay) const;  // the whole of it, with the addresses that the relay is told
+  // A new phase of an endpoint: active, leaving, left. Watches hear of it late.
+  void set(size_t place, const std::string& phase);
+  void down(bool out);  // calls for lists fail and watches end; notices are taken
+
+ private:
+  class Session;
+  struct Change {
+    int revision = 0;
+    size_t place = 0;
+    std::string phase;
+    int64_t up_since_ms = 0;
+  };
+  struct Entry {
+    std::string phase = "active";
+    int64_t up_since_ms = 0;
+  };
+
+  void accept();
+  nlohmann::json member(int relay, size_t place, const std::string& phase, int64_t up_since_ms) const;
+  double turn();  // when a call that comes now is dealt with
+
+  World& world_;
+  tcp::acceptor acceptor_;
+  std::list<std::shared_ptr<Session>> open_;
+  std::vector<Entry> entries_;  // by place
+  std::vector<Change> changes_;
+  int revision_ = 1;
+  double busy_until_ = 0;
+  bool down_ = false;
+  net::Random random_;
+};
+
+}  // namespace firspool::lab
--- /dev/null
+++ b/lab/play.h
@@ -0,0 +1,39 @@
+// A run: processes of the relay, the parties around them, the faults by their timetable, until all has ended.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "history.h"
+#include "plan.h"
+
+namespace firspool::lab {
+
+struct PlayOptions {
+  std::string relay;   // the program
+  std::string folder;  // of the run; it exists and is empty
+  std::string level = "info";
+  std::function<void(const std::string& line, bool last)> progress;  // about once a second; may be empty
+};
+
+struct Lateness {
+  double p50_s = 0;
+  double p99_s = 0;
+  double most_s = 0;
+};
+
+struct Played {
+  History history;
+  Lateness late;       // the lab's own: arrivals, and a timer beside them
+  double seconds = 0;  // that it took
+  double lab_cpu_s = 0;
+  double relays_cpu_s = 0;
+  size_t connections = 0;  // made to endpoints
+  size_t fallen = 0;       // receivers pushed over
+  size_t unfinished = 0;   // messages taken on that had no end when the run was over
+};
+
+// Throws std::runtime_error where a run cannot be set up; what goes wrong in it is in its history.
+Played play(const Scenario& scenario, const Plan& plan, const PlayOptions& options);
+
+}  // namespace firspool::lab
