--- a/lab/compare.cpp
+++ b/lab/compare.cpp
@@ -50,6 +50,7 @@
       difference("latency_p99_s", pairs, [](const Figures& f) { return f.latency.p99; }),
       difference("attempts", pairs, [](const Figures& f) { return f.attempts; }),
       difference("refused", pairs, [](const Figures& f) { return f.refused; }),
+      difference("list_failed", pairs, [](const Figures& f) { return static_cast<double>(f.list_failed); }),
       difference("fallen", pairs, [](const Figures& f) { return static_cast<double>(f.fallen); }),
   };
 }
--- a/lab/platform.cpp
+++ b/lab/platform.cpp
@@ -70,6 +70,7 @@
     const std::string_view target(request.target().data(), request.target().size());
     if (request.method() == http::verb::post && target == "/v2/finals") return finals(request.body());
     if (request.method() != http::verb::get || !target.starts_with("/api/targets")) return answer(404, "");
+    ++owner_->calls_.all;
     const double at = owner_->turn();
     const double latest = owner_->world_.now() + owner_->world_.scenario.discovery_give_up_s;
     timer_.expires_at(owner_->world_.point(std::min(at, latest)));
@@ -77,7 +78,9 @@
     timer_.async_wait([self = shared_from_this(), stream, given_up = at > latest,
                        index = index_of(target)](const Error& error) {
       if (error || self->owner_ == nullptr) return;
-      if (given_up || self->owner_->down_) return self->answer(503, "");
+      const bool fails = given_up || self->owner_->down_;
+      self->owner_->calls_.failed += fails ? 1 : 0;
+      if (fails) return self->answer(503, "");
       stream ? self->watch(index) : self->whole();
     });
   }
--- a/lab/platform.h
+++ b/lab/platform.h
@@ -19,6 +19,11 @@
   nlohmann::json list(int relay) const;  // the whole of it, with the addresses that the relay is told
   // A new phase of an endpoint: active, leaving, left. Watches hear of it late.
   void set(size_t place, const std::string& phase);
+  struct Calls {
+    size_t all = 0;     // for lists and watches
+    size_t failed = 0;  // that waited too long, or came while discovery was down
+  };
+  const Calls& calls() const { return calls_; }
   void down(bool out);  // calls for lists fail and watches end; notices are taken
 
  private:
@@ -46,6 +51,7 @@
   int revision_ = 1;
   double busy_until_ = 0;
   bool down_ = false;
+  Calls calls_;
   net::Random random_;
 };
 
--- a/lab/play.cpp
+++ b/lab/play.cpp
@@ -106,6 +106,8 @@
         out.connections += world_.to_endpoint(i, p).connections();
     }
     out.fallen = endpoints_.fallen();
+    out.list_calls = platform_.calls().all;
+    out.list_failed = platform_.calls().failed;
     out.unfinished = unfinished_;
     return out;
   }
--- a/lab/report.cpp
+++ b/lab/report.cpp
@@ -186,6 +186,8 @@
   row("hand-ins refused, messages handed back, for each message",
       round_to(f.refused, 4) + ", " + round_to(f.handed_back, 4));
   row("connections made to endpoints", std::to_string(f.connections));
+  row("calls to discovery for lists, of these failed",
+      std::to_string(f.list_calls) + ", " + std::to_string(f.list_failed));
   row("receivers pushed over", std::to_string(f.fallen));
   row("lateness of the lab: p50, p99, most (ms)", round_to(1000 * f.late_lab.p50_s, 2) + ", " +
                                                       round_to(1000 * f.late_lab.p99_s, 2) + ", " +
@@ -250,6 +252,8 @@
   out.handed_back = static_cast<double>(back) / n;
   out.connections = played.connections;
   out.fallen = played.fallen;
+  out.list_calls = played.list_calls;
+  out.list_failed = played.list_failed;
   out.late_lab = played.late;
   out.seconds = played.seconds;
   out.lab_cpu_s = played.lab_cpu_s;
@@ -275,6 +279,8 @@
           {"handed_back", f.handed_back},
           {"connections", f.connections},
           {"fallen", f.fallen},
+          {"list_calls", f.list_calls},
+          {"list_failed", f.list_failed},
           {"lab",
            {{"measured", f.measured},
             {"late_p50_s", f.late_lab.p50_s},
--- a/lab/report.h
+++ b/lab/report.h
@@ -33,6 +33,8 @@
   double handed_back = 0;  // messages taken on and returned, for each message
   size_t connections = 0;
   size_t fallen = 0;
+  size_t list_calls = 0;
+  size_t list_failed = 0;
   Lateness late_lab;
   double seconds = 0;
   double lab_cpu_s = 0;
