--- a/lab/report.cpp
+++ b/lab/report.cpp
@@ -37,7 +37,7 @@
   double below = 0;
   for (auto&& bin : bh::indexed(histogram, bh::coverage::all)) {
     below += *bin;
-    if (all > 0 && below >= q * all) return std::clamp(bin.bin().upper(), kLeastLatency, kMostLatency);
+    if (below > 0 && below >= q * all) return std::clamp(bin.bin().upper(), kLeastLatency, kMostLatency);
   }
   return 0;
 }
@@ -133,7 +133,8 @@
 }
 
 void plot(const fs::path& folder) {
-  const std::string common = "set grid lc rgb '#dddddd'\nset border 3\nset tics nomirror\nset key top left\n";
+  const std::string common =
+      "set grid lc rgb '#dddddd'\nset border 3\nset tics nomirror\nset key outside top center horizontal\n";
   const auto both = [&](const std::string& name, const std::string& commands) {
     std::string script;
     for (const auto& [terminal, ending] : {std::pair{"svg size 900,420 font 'sans,12'", "svg"},
