Registry: the state machine that every member will run over the same log

Need: all relays share one discovery service that is overbooked when they come at once; the fleet wants a list of its own, replicated, whose members agree to the byte. A library with tests, linked by nothing yet.

--- /dev/null
+++ b/registry/state.cpp
@@ -0,0 +1,262 @@
+#include "state.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <stdexcept>
+
+namespace firspool::registry {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kFormat = 1;
+
+std::string to_bytes(const json& value) {
+  const std::vector<uint8_t> bytes = json::to_cbor(value);
+  return {bytes.begin(), bytes.end()};
+}
+
+json pack(const Entry& e) {
+  return json::array({e.id, e.host_port, e.locality, e.flavor, e.cell, e.phase, e.size, e.up_since_ms,
+                      e.ttl_ms, e.revision});
+}
+
+Entry unpack(const json& j) {
+  return {j.at(0), j.at(1), j.at(2), j.at(3), j.at(4), j.at(5), j.at(6), j.at(7), j.at(8), j.at(9)};
+}
+
+json pack(const std::optional<Entry>& entry) { return entry ? pack(*entry) : json(); }
+
+std::optional<Entry> unpack_some(const json& j) {
+  if (j.is_null()) return {};
+  return unpack(j);
+}
+
+}  // namespace
+
+std::string encode(const Command& command) {
+  json items = json::array();
+  for (const Item& item : command.items) {
+    items.push_back({item.id, pack(item.entry), item.if_match ? json(*item.if_match) : json()});
+  }
+  return to_bytes({static_cast<int>(command.kind), command.now_ms, command.request, items, command.identity});
+}
+
+Command decode(const std::string& bytes) {
+  const json j = json::from_cbor(bytes);
+  Command out;
+  const int kind = j.at(0);
+  if (kind < 0 || kind > static_cast<int>(Command::Kind::kFound))
+    throw std::invalid_argument("no such command");
+  out.kind = static_cast<Command::Kind>(kind);
+  out.now_ms = j.at(1);
+  out.request = j.at(2);
+  for (const json& item : j.at(3)) {
+    const json& match = item.at(2);
+    out.items.push_back({item.at(0), unpack_some(item.at(1)),
+                         match.is_null() ? std::nullopt : std::optional(match.get<Revision>())});
+  }
+  out.identity = j.at(4);
+  return out;
+}
+
+std::optional<Answer> State::refusal(const std::vector<Item>& items) const {
+  for (const Item& item : items) {
+    if (!item.if_match) continue;
+    const auto it = entries_.find(item.id);
+    const Revision has = it == entries_.end() ? 0 : it->second.revision;
+    if (has != *item.if_match) return Answer{Answer::Kind::kConflict, has, item.id};
+  }
+  return {};
+}
+
+void State::set(Revision index, const std::string& id, std::optional<Entry> entry) {
+  const auto it = entries_.find(id);
+  Change change{index, id, {}, {}};
+  if (entry) {
+    entry->id = id;
+    if (it != entries_.end()) entry->revision = it->second.revision;
+    if (it != entries_.end() && it->second == *entry) return;
+    entry->revision = index;
+    entries_[id] = *entry;
+    change.entry = std::move(entry);
+  } else {
+    if (it == entries_.end()) return;
+    change.last = it->second;
+    entries_.erase(it);
+    due_.erase(id);
+  }
+  revision_ = index;
+  changes_.push_back(std::move(change));
+  // A revision goes whole: a watch never gets a part of what was written at once.
+  while (changes_.size() > limits_.kept_changes && changes_.front().revision != index) {
+    compacted_ = changes_.front().revision;
+    while (changes_.front().revision == compacted_) changes_.pop_front();
+  }
+}
+
+// What is not renewed becomes leaving, then is gone. Many that would lapse at once speak against us, not
+// them: then nothing lapses until they are renewed or fewer are due.
+void State::expire(Revision index) {
+  while (!lapses_.empty() && lapses_.front() <= now_ - limits_.lapse_span_ms) lapses_.pop_front();
+  std::vector<std::string> due;
+  std::vector<std::string> gone;
+  for (const auto& [id, at] : due_) {
+    if (at > now_) continue;
+    (entries_.at(id).phase == "leaving" ? gone : due).push_back(id);
+  }
+  const auto share = static_cast<size_t>(limits_.lapse_share * static_cast<double>(due_.size()));
+  held_ = lapses_.size() + due.size() > std::max(limits_.lapse_least, share);
+  if (!held_) {
+    for (const std::string& id : due) {
+      Entry entry = entries_.at(id);
+      entry.phase = "leaving";
+      set(index, id, entry);
+      due_[id] = now_ + limits_.leave_ms;
+      lapses_.push_back(now_);
+    }
+  }
+  for (const std::string& id : gone) set(index, id, {});
+}
+
+void State::remember(const std::string& request, const Answer& answer) {
+  if (request.empty()) return;
+  answers_[request] = answer;
+  requests_.push_back(request);
+  while (requests_.size() > limits_.kept_requests) {
+    answers_.erase(requests_.front());
+    requests_.pop_front();
+  }
+}
+
+Answer State::apply(Revision index, const Command& command) {
+  now_ = std::max(now_, command.now_ms);  // a new leader's clock may be behind
+  if (const auto before = answers_.find(command.request);
+      !command.request.empty() && before != answers_.end()) {
+    return before->second;
+  }
+  Answer answer{Answer::Kind::kDone, revision_, ""};
+  const bool one = command.items.size() == 1;
+  switch (command.kind) {
+    case Command::Kind::kWrite:
+      if (const auto refused = refusal(command.items)) {
+        answer = *refused;
+        break;
+      }
+      for (const Item& item : command.items) {
+        set(index, item.id, item.entry);
+        due_.erase(item.id);
+      }
+      answer.revision = revision_;
+      break;
+    case Command::Kind::kRegister:
+      if (!one || !command.items[0].entry || command.items[0].entry->ttl_ms <= 0) {
+        answer.kind = Answer::Kind::kUnknown;
+        break;
+      }
+      set(index, command.items[0].id, command.items[0].entry);
+      due_[command.items[0].id] = now_ + command.items[0].entry->ttl_ms;
+      answer.revision = revision_;
+      break;
+    case Command::Kind::kRenew: {
+      const auto it = one ? entries_.find(command.items[0].id) : entries_.end();
+      if (it == entries_.end() || !due_.contains(it->first)) {
+        answer = {Answer::Kind::kUnknown, revision_, one ? command.items[0].id : ""};
+        break;
+      }
+      due_[it->first] = now_ + it->second.ttl_ms;
+      if (it->second.phase == "leaving") {  // it was only late
+        Entry entry = it->second;
+        entry.phase = "active";
+        set(index, entry.id, entry);
+      }
+      answer.revision = revision_;
+      break;
+    }
+    case Command::Kind::kTick:
+      expire(index);
+      answer.revision = revision_;
+      break;
+    case Command::Kind::kFound:
+      identity_ = command.identity;
+      revision_ = index;
+      compacted_ = index;  // nobody's watch goes on over it
+      changes_.clear();
+      answer.revision = revision_;
+      break;
+  }
+  remember(command.request, answer);
+  return answer;
+}
+
+std::optional<std::vector<Change>> State::since(Revision revision) const {
+  if (revision < compacted_ || revision > revision_) return {};
+  std::vector<Change> out;
+  std::set<std::string> seen;
+  for (auto it = changes_.rbegin(); it != changes_.rend() && it->revision > revision; ++it) {
+    if (seen.insert(it->id).second) out.push_back(*it);
+  }
+  std::reverse(out.begin(), out.end());
+  return out;
+}
+
+std::string State::snapshot() const {
+  json entries = json::array();
+  for (const auto& [id, entry] : entries_) entries.push_back(pack(entry));
+  json changes = json::array();
+  for (const Change& c : changes_) changes.push_back({c.revision, c.id, pack(c.entry), pack(c.last)});
+  json answers = json::array();
+  for (const std::string& request : requests_) {
+    const Answer& a = answers_.at(request);
+    answers.push_back({request, static_cast<int>(a.kind), a.revision, a.id});
+  }
+  const json limits = {limits_.kept_changes,  limits_.kept_requests, limits_.leave_ms,
+                       limits_.lapse_span_ms, limits_.lapse_share,   limits_.lapse_least};
+  return to_bytes({kFormat, limits, revision_, compacted_, now_, identity_, entries, due_, lapses_, held_,
+                   changes, answers});
+}
+
+State State::restore(const std::string& bytes) {
+  const json j = json::from_cbor(bytes);
+  if (j.at(0) != kFormat)
+    throw std::invalid_argument("a snapshot of format " + j.at(0).dump() + "; this program reads " +
+                                std::to_string(kFormat));
+  const json& l = j.at(1);
+  State out({l.at(0), l.at(1), l.at(2), l.at(3), l.at(4), l.at(5)});
+  out.revision_ = j.at(2);
+  out.compacted_ = j.at(3);
+  out.now_ = j.at(4);
+  out.identity_ = j.at(5);
+  for (const json& entry : j.at(6)) out.entries_[entry.at(0)] = unpack(entry);
+  out.due_ = j.at(7).get<std::map<std::string, Millis>>();
+  out.lapses_ = j.at(8).get<std::deque<Millis>>();
+  out.held_ = j.at(9);
+  for (const json& c : j.at(10))
+    out.changes_.push_back({c.at(0), c.at(1), unpack_some(c.at(2)), unpack(c.at(3))});
+  for (const json& a : j.at(11))
+    out.remember(a.at(0), {static_cast<Answer::Kind>(a.at(1).get<int>()), a.at(2), a.at(3)});
+  return out;
+}
+
+uint64_t State::hash() const {
+  const std::string bytes = snapshot();
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+json State::member(const Entry& e, const std::string& phase) {
+  return {
+      {"id", e.id},     {"host_port", e.host_port}, {"locality", e.locality}, {"flavor", e.flavor},
+      {"cell", e.cell}, {"phase", phase},           {"size", e.size},         {"up_since_ms", e.up_since_ms}};
+}
+
+json State::list() const {
+  json out = {{"revision", revision_}, {"complete", true}, {"members", json::array()}};
+  for (const auto& [id, entry] : entries_) out["members"].push_back(member(entry, entry.phase));
+  return out;
+}
+
+}  // namespace firspool::registry
--- /dev/null
+++ b/registry/state.h
@@ -0,0 +1,130 @@
+// registry: the fleet's own list of endpoints. This one: its state machine, a core that every member runs
+// over the same log. No I/O, no clock, no random numbers: the revision of a change is its index in the log,
+// and all time comes with the commands, so that members agree to the byte.
+//
+// Revisions, compaction and compare-and-set as etcd has them; expiry as in its leases, with a guard of our
+// own: where too many registrations would lapse at once, the fault is taken to be ours.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace firspool::registry {
+
+using Revision = uint64_t;
+using Millis = int64_t;  // the leader's time, as it came with a command
+
+struct Limits {
+  size_t kept_changes = 10'000;   // for watches; older ones are compacted
+  size_t kept_requests = 10'000;  // answers to clients that may ask again
+  Millis leave_ms = 10'000;       // how long what has lapsed is listed as leaving before it is gone
+  Millis lapse_span_ms = 10'000;  // in any such span
+  double lapse_share = 0.3;       // not more than this part of the registrations may lapse
+  size_t lapse_least = 2;         // but so many always may
+  bool operator==(const Limits&) const = default;
+};
+
+// An endpoint as discovery's list tells it.
+struct Entry {
+  std::string id;
+  std::string host_port;
+  std::string locality;
+  std::string flavor;
+  int cell = 0;
+  std::string phase = "active";  // active, leaving; what has left is not held
+  double size = 0;
+  Millis up_since_ms = 0;
+  Millis ttl_ms = 0;      // registrations: to be renewed within this time; 0: it stays until it is taken out
+  Revision revision = 0;  // of its last change
+  bool operator==(const Entry&) const = default;
+};
+
+// For an id: what it is from now on, or nothing where it goes.
+struct Item {
+  std::string id;
+  std::optional<Entry> entry;
+  std::optional<Revision> if_match;  // only if its last change has this revision; 0: only if there is none
+};
+
+struct Command {
+  enum class Kind { kWrite, kRegister, kRenew, kTick, kFound };
+  Kind kind = Kind::kTick;
+  Millis now_ms = 0;
+  std::string request;      // a client's name for it; one that comes again gets the first one's answer
+  std::vector<Item> items;  // kWrite: all or none; kRegister, kRenew: one
+  std::string identity;     // kFound: the list's new name; a rebuilt or restored list has another one
+};
+
+// CBOR, for the log. decode throws std::exception on what is no command.
+std::string encode(const Command& command);
+Command decode(const std::string& bytes);
+
+struct Answer {
+  enum class Kind { kDone, kConflict, kUnknown };
+  Kind kind = Kind::kDone;
+  Revision revision =
+      0;           // kDone: of the change, or of the state where nothing changed; kConflict: of the entry
+  std::string id;  // kConflict, kUnknown: which
+  bool operator==(const Answer&) const = default;
+};
+
+struct Change {
+  Revision revision = 0;
+  std::string id;
+  std::optional<Entry> entry;  // nothing: it has left
+  Entry last;                  // where it has left: what it was
+  bool operator==(const Change&) const = default;
+};
+
+class State {
+ public:
+  explicit State(Limits limits = {}) : limits_(limits) {}
+
+  // In the order of the log; an index grows with each call.
+  Answer apply(Revision index, const Command& command);
+
+  Revision revision() const { return revision_; }    // of the last change
+  Revision compacted() const { return compacted_; }  // changes up to it are not held any more
+  const std::string& identity() const { return identity_; }
+  const std::map<std::string, Entry>& entries() const { return entries_; }
+  bool held() const { return held_; }  // expiry stands still: too much would lapse at once
+
+  // What changed after a revision, by revision, the newest of each id only; nothing where that has been
+  // compacted or has never been: the whole list is wanted.
+  std::optional<std::vector<Change>> since(Revision revision) const;
+
+  std::string snapshot() const;                    // CBOR
+  static State restore(const std::string& bytes);  // throws std::exception
+  uint64_t hash() const;                           // XXH3 of the snapshot
+
+  // For discovery's clients: {"revision":…,"complete":…,"members":[…]}.
+  nlohmann::json list() const;
+  static nlohmann::json member(const Entry& entry, const std::string& phase);
+
+ private:
+  std::optional<Answer> refusal(const std::vector<Item>& items) const;
+  void set(Revision index, const std::string& id, std::optional<Entry> entry);
+  void expire(Revision index);
+  void remember(const std::string& request, const Answer& answer);
+
+  Limits limits_;
+  Revision revision_ = 0;
+  Revision compacted_ = 0;
+  Millis now_ = 0;
+  std::string identity_;
+  std::map<std::string, Entry> entries_;
+  std::map<std::string, Millis>
+      due_;                    // registrations: when they lapse; of those that have: when they are gone
+  std::deque<Millis> lapses_;  // when some lapsed, within the span
+  bool held_ = false;
+  std::deque<Change> changes_;
+  std::map<std::string, Answer> answers_;
+  std::deque<std::string> requests_;  // in their order
+};
+
+}  // namespace firspool::registry
--- /dev/null
+++ b/tests/registry_test.cpp
@@ -0,0 +1,189 @@
+// The registry's state machine.
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "net/random.h"
+#include "registry/state.h"
+
+namespace firspool::registry {
+namespace {
+
+Entry entry(const std::string& id, int cell = 1, Millis ttl_ms = 0) {
+  Entry out{id, "127.0.0.1:80", "a", "std", cell, "active", 1.5, 0, ttl_ms, 0};
+  return out;
+}
+
+Command write(std::vector<Item> items, const std::string& request = "", Millis now = 0) {
+  return {Command::Kind::kWrite, now, request, std::move(items), ""};
+}
+Command enroll(const std::string& id, Millis ttl_ms, Millis now) {
+  return {Command::Kind::kRegister, now, "", {{id, entry(id, 1, ttl_ms), {}}}, ""};
+}
+Command renew(const std::string& id, Millis now) {
+  return {Command::Kind::kRenew, now, "", {{id, {}, {}}}, ""};
+}
+Command tick(Millis now) { return {Command::Kind::kTick, now, "", {}, ""}; }
+
+TEST(State, WritesManyInOneRevisionOrNone) {
+  State s;
+  EXPECT_EQ(s.apply(5, write({{"a", entry("a"), {}}, {"b", entry("b"), {}}})).revision, 5U);
+  const Answer refused = s.apply(6, write({{"c", entry("c"), 0}, {"a", {}, 4}}));
+  EXPECT_EQ(refused, (Answer{Answer::Kind::kConflict, 5, "a"}));
+  EXPECT_FALSE(s.entries().contains("c"));
+  EXPECT_EQ(s.revision(), 5U);
+  EXPECT_EQ(s.apply(7, write({{"c", entry("c"), 0}, {"a", {}, 5}})).revision, 7U);
+  EXPECT_FALSE(s.entries().contains("a"));
+}
+
+TEST(State, AnswersARequestThatComesAgainAsTheFirstTime) {
+  State s;
+  const Answer first = s.apply(1, write({{"a", entry("a"), 0}}, "r1"));
+  s.apply(2, write({{"a", {}, {}}}, "r2"));
+  EXPECT_EQ(s.apply(3, write({{"a", entry("a"), 0}}, "r1")), first);
+  EXPECT_FALSE(s.entries().contains("a"));
+}
+
+TEST(State, ChangesNothingWhereNothingIsNew) {
+  State s;
+  s.apply(1, write({{"a", entry("a"), {}}}));
+  EXPECT_EQ(s.apply(2, write({{"a", entry("a"), {}}})).revision, 1U);
+  EXPECT_EQ(s.since(1)->size(), 0U);
+}
+
+TEST(State, TellsTheNewestOfEachIdAndFallsBackOnceCompacted) {
+  Limits limits;
+  limits.kept_changes = 4;
+  State s(limits);
+  for (Revision i = 1; i <= 4; ++i) s.apply(i, write({{"a", entry("a", static_cast<int>(i)), {}}}));
+  const auto news = s.since(1);
+  ASSERT_TRUE(news);
+  ASSERT_EQ(news->size(), 1U);
+  EXPECT_EQ(news->front().entry->cell, 4);
+  s.apply(5, write({{"b", entry("b"), {}}, {"c", entry("c"), {}}}));
+  EXPECT_EQ(s.compacted(), 2U);
+  EXPECT_FALSE(s.since(1));
+  EXPECT_TRUE(s.since(2));
+  EXPECT_FALSE(s.since(6));  // of a list that this one never was
+}
+
+TEST(State, LetsARegistrationLapseAndComeBack) {
+  State s;
+  s.apply(1, enroll("a", 1000, 0));
+  s.apply(2, renew("a", 900));
+  s.apply(3, tick(1500));
+  EXPECT_EQ(s.entries().at("a").phase, "active");
+  s.apply(4, tick(1900));
+  EXPECT_EQ(s.entries().at("a").phase, "leaving");
+  s.apply(5, renew("a", 2000));
+  EXPECT_EQ(s.entries().at("a").phase, "active");
+  s.apply(6, tick(3000));
+  s.apply(7, tick(13'000));
+  EXPECT_FALSE(s.entries().contains("a"));
+  EXPECT_EQ(s.apply(8, renew("a", 13'001)).kind, Answer::Kind::kUnknown);
+}
+
+// Endpoints that stop renewing all at once were cut off from us: nothing expires in bulk.
+TEST(State, HoldsExpiryWhereTooManyWouldLapse) {
+  State s;
+  Revision index = 0;
+  for (int i = 0; i < 20; ++i) s.apply(++index, enroll("e" + std::to_string(i), 1000, 0));
+  const Revision before = s.revision();
+  s.apply(++index, tick(60'000));
+  EXPECT_TRUE(s.held());
+  EXPECT_EQ(s.revision(), before);
+  for (int i = 3; i < 20; ++i) s.apply(++index, renew("e" + std::to_string(i), 60'100));
+  s.apply(++index, tick(60'200));
+  EXPECT_FALSE(s.held());
+  EXPECT_EQ(s.entries().at("e0").phase, "leaving");
+  EXPECT_EQ(s.entries().at("e5").phase, "active");
+}
+
+TEST(State, NeverGoesBackInTime) {
+  State s;
+  s.apply(1, enroll("a", 1000, 5000));
+  s.apply(2, renew("a", 100));  // a new leader whose clock is behind
+  s.apply(3, tick(5500));
+  EXPECT_EQ(s.entries().at("a").phase, "active");
+}
+
+TEST(State, HasAnotherNameOnceRebuilt) {
+  State s;
+  s.apply(1, write({{"a", entry("a"), {}}}));
+  s.apply(2, {Command::Kind::kFound, 0, "", {}, "list-2"});
+  EXPECT_EQ(s.identity(), "list-2");
+  EXPECT_FALSE(s.since(1));  // its watches take the next list whole
+  EXPECT_TRUE(s.since(2));
+}
+
+// Members that apply the same log agree to the byte, also one that began from a snapshot in the middle of it.
+TEST(State, IsTheSameAtEveryMember) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    net::Random random(seed);
+    Limits limits;
+    limits.kept_changes = 30;
+    limits.kept_requests = 20;
+    State a(limits);
+    std::optional<State> b;
+    Millis now = 0;
+    for (Revision index = 1; index <= 400; ++index) {
+      const std::string id = "e" + std::to_string(random.below(12));
+      now += static_cast<Millis>(random.below(600));
+      Command command = tick(now);
+      const size_t kind = random.below(5);
+      if (kind == 0)
+        command = write({{id, entry(id, static_cast<int>(random.below(5))), {}}},
+                        "r" + std::to_string(random.below(40)), now);
+      if (kind == 1) command = write({{id, {}, random.below(400)}, {"x", entry("x"), {}}}, "", now);
+      if (kind == 2) command = enroll(id, 2000, now);
+      if (kind == 3) command = renew(id, now);
+      command = decode(encode(command));
+      const Answer answer = a.apply(index, command);
+      if (b) {
+        ASSERT_EQ(b->apply(index, command), answer) << "seed " << seed;
+      }
+      if (index == 200) b = State::restore(a.snapshot());
+      if (b && index % 20 == 0) {
+        ASSERT_EQ(a.hash(), b->hash()) << "seed " << seed << " index " << index;
+      }
+    }
+    EXPECT_EQ(a.list(), b->list());
+  }
+}
+
+// A watch that takes what since() tells, step by step and with gaps, holds the list.
+TEST(State, KeepsAWatchTrue) {
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    net::Random random(seed);
+    Limits limits;
+    limits.kept_changes = 25;
+    State s(limits);
+    std::map<std::string, Entry> seen;
+    Revision known = 0;
+    for (Revision index = 1; index <= 300; ++index) {
+      std::vector<Item> items;
+      for (size_t i = 0; i <= random.below(3); ++i) {
+        const std::string id = "e" + std::to_string(random.below(8));
+        items.push_back(
+            {id,
+             random.chance(0.6) ? std::optional(entry(id, static_cast<int>(random.below(9)))) : std::nullopt,
+             {}});
+      }
+      s.apply(index, write(items));
+      if (random.chance(0.8)) continue;
+      if (const auto news = s.since(known)) {
+        for (const Change& change : *news) {
+          if (change.entry) seen[change.id] = *change.entry;
+          if (!change.entry) seen.erase(change.id);
+        }
+      } else {
+        seen = s.entries();
+      }
+      known = s.revision();
+      ASSERT_EQ(seen, s.entries()) << "seed " << seed << " index " << index;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace firspool::registry
