--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -246,11 +246,15 @@
   return write(bytes);
 }
 
-// The live records already hold what is written here, so a compaction writes it too.
+// The live records already hold what is written here, so a compaction writes it too; also what could not be
+// written before: the file stays behind them until one succeeds.
 bool Journal::write(std::string_view bytes) {
+  if (behind_) return compact();
   if (size_ + bytes.size() > most_file_ && compact()) return true;
+  behind_ = true;
   if (size_ + bytes.size() > most_file_) return false;
   if (write_all(file_, bytes)) {
+    behind_ = false;
     size_ += bytes.size();
     return true;
   }
@@ -274,6 +278,7 @@
   ::close(file_);
   file_ = fresh;
   size_ = bytes.size();
+  behind_ = false;
   return true;
 }
 
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -42,6 +42,8 @@
   void never_ran(const std::string& id, int number);
   void owed(const Notice& notice);
   void done(const std::string& id);
+  // Writes what a full disk held back; false where there is still no room.
+  bool settle() { return !behind_ || compact(); }
   // A fact beside the messages; the last value of a name counts, an empty one forgets it.
   void remember(const std::string& name, const std::string& value);
 
@@ -58,6 +60,7 @@
   size_t most_file_;  // one file's size; while it is compacted there are two
   int file_ = -1;
   size_t size_ = 0;
+  bool behind_ = false;  // something that stands in the live records could not be written
   size_t live_bytes_ = 0;
   uint64_t order_ = 0;
   std::map<std::string, uint64_t> places_;  // live messages, in the order they came
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -402,6 +402,7 @@
 void Relay::hand_over() {
   happened(Closing{steady_now()});
   step();
+  journal_.settle();
   if (!handover_.give_folder()) {
     handover_.withdraw();
     return happened(Closing{std::numeric_limits<Time>::max()});
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -1,4 +1,7 @@
 // The relay's parts that need no socket: configuration, requests, the list and the journal.
+#include <sys/resource.h>
+
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -246,6 +249,43 @@
   EXPECT_EQ(Journal(folder_, kDisk).remembered(), (std::map<std::string, std::string>{{"a", "9999"}}));
 }
 
+// While it stands the process's files cannot grow beyond a size.
+class FullDisk {
+ public:
+  explicit FullDisk(size_t size) {
+    std::signal(SIGXFSZ, SIG_IGN);
+    ::getrlimit(RLIMIT_FSIZE, &before_);
+    const rlimit limit{size, before_.rlim_max};
+    ::setrlimit(RLIMIT_FSIZE, &limit);
+  }
+  ~FullDisk() { ::setrlimit(RLIMIT_FSIZE, &before_); }
+
+ private:
+  rlimit before_{};
+};
+
+// Else a message that was handed back would be taken up again by the next process, and end twice.
+TEST_F(JournalTest, WritesWhatAFullDiskHeldBackOnceThereIsRoom) {
+  for (const bool moved : {false, true}) {
+    std::filesystem::remove_all(folder_);
+    std::filesystem::create_directory(folder_);
+    {
+      Journal journal(folder_, 1'000'000);
+      for (const std::string id : {"a", "b"}) ASSERT_TRUE(journal.accepted(message(id), 1234));
+      {
+        const FullDisk full(bytes().size());
+        EXPECT_FALSE(journal.accepted(message("c"), 1234));
+        journal.owed({"a", true, 500});
+      }
+      EXPECT_TRUE(moved ? journal.settle() : journal.accepted(message("d"), 1234));
+    }
+    const Journal again(folder_, 1'000'000);
+    ASSERT_EQ(again.recovered().size(), moved ? 2U : 3U);
+    EXPECT_TRUE(again.recovered()[0].owed) << moved;
+    EXPECT_FALSE(again.recovered()[1].owed);
+  }
+}
+
 TEST_F(JournalTest, TakesAnIdAgainAfterItsEnd) {
   {
     Journal journal(folder_, 1'000'000);
