Lab: hold a relay only to calls and lists that it really sent and heard

Change: a call whose caller has closed does not count, lists count where the caller's side is open, and the list in the configuration counts at the start.

--- a/lab/endpoints.cpp
+++ b/lab/endpoints.cpp
@@ -124,6 +124,7 @@
 
   void call() {
     if (owner_ == nullptr) return;
+    if (!open_at_relay()) return end();  // given up while it was on its way: it is no attempt that is out now
     const auto& request = parser_->get();
     bundle_ = request.target() == "/events/bundle";
     ids_ = ids_of(request);
--- a/lab/platform.cpp
+++ b/lab/platform.cpp
@@ -31,7 +31,8 @@
   Session(Platform& owner, tcp::socket socket)
       : owner_(&owner), socket_(std::move(socket)), timer_(owner.world_.io), late_(owner.world_.io) {
     Error ignored;
-    relay_ = owner.world_.relay_of(socket_.remote_endpoint(ignored));
+    peer_ = socket_.remote_endpoint(ignored);
+    relay_ = owner.world_.relay_of(peer_);
     socket_.set_option(tcp::no_delay(true), ignored);
   }
 
@@ -94,7 +95,9 @@
     for (size_t p = 0; p < owner_->entries_.size(); ++p) note_told(p, owner_->entries_[p].phase);
   }
 
+  // What is written to a process that has gone is told to nobody.
   void note_told(size_t place, const std::string& phase) {
+    if (relay_ < 0 || !owner_->world_.to_discovery(relay_).open_at_caller(peer_)) return;
     const auto& where = owner_->world_.places()[place];
     owner_->world_.note({0, What::kTold, relay_, where.receiver, where.endpoint, -1, 0, 0, phase});
   }
@@ -193,6 +196,7 @@
   tcp::socket socket_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer late_;
+  tcp::endpoint peer_;
   int relay_ = -1;
   bool watching_ = false;
   std::vector<std::pair<double, Change>> pending_;
@@ -255,6 +259,13 @@
   return out;
 }
 
+void Platform::told_at_start(int relay) {
+  for (size_t p = 0; p < entries_.size(); ++p) {
+    const auto& where = world_.places()[p];
+    world_.note({0, What::kTold, relay, where.receiver, where.endpoint, -1, 0, 0, entries_[p].phase});
+  }
+}
+
 void Platform::set(size_t place, const std::string& phase) {
   Entry& entry = entries_[place];
   if (entry.phase == phase) return;
--- a/lab/platform.h
+++ b/lab/platform.h
@@ -17,6 +17,7 @@
   ~Platform();
 
   nlohmann::json list(int relay) const;  // the whole of it, with the addresses that the relay is told
+  void told_at_start(int relay);         // notes that its configuration held the list as it is now
   // A new phase of an endpoint: active, leaving, left. Watches hear of it late.
   void set(size_t place, const std::string& phase);
   struct Calls {
--- a/lab/play.cpp
+++ b/lab/play.cpp
@@ -228,6 +228,7 @@
     what.log = options_.folder + "/log/" + name + ".log";
     what.descriptors = scenario_.sockets;
     r.process = spawn(what);
+    platform_.told_at_start(i);
     r.ready = false;
     r.ending = false;
     r.stopped = false;
