turntally: name the word that is not known

Need: a mistyped subcommand was answered with 'A subcommand is required'. Change: the first word that nothing took is named, with exit status 2 as before. Measured: turntally lab chekc x, lab run a b, lab run: each one line and status 2.

--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -21,7 +21,9 @@
   } catch (const CLI::Success& done) {  // --help, --version
     return app.exit(done);
   } catch (const CLI::ParseError& error) {
-    std::fprintf(stderr, "turntally: %s (see --help)\n", error.what());
+    const auto unknown = app.remaining(true);
+    const std::string what = unknown.empty() ? error.what() : "'" + unknown.front() + "' is not known";
+    std::fprintf(stderr, "turntally: %s (see --help)\n", what.c_str());
     return cli::kMisuse;
   } catch (const net::BadInput& error) {
     std::fprintf(stderr, "turntally: %s\n", error.what());
