--- a/cli/command.h
+++ b/cli/command.h
@@ -2,6 +2,11 @@
 #pragma once
 
 #include <CLI/CLI.hpp>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "registry/client.h"
 
 namespace firspool::cli {
 
@@ -10,7 +15,21 @@
 constexpr int kBroken = 1;  // something that was checked did not hold, or a run failed
 constexpr int kMisuse = 2;  // the command or its input is wrong
 
+// What every command needs that talks to a registry.
+struct RegistryOptions {
+  std::string at;
+  bool json = false;
+
+  void add_to(CLI::App& command);
+  std::vector<std::string> addresses() const;  // throws net::BadInput
+  registry::Client client() const;
+  // The rows, the first one being their head, on a terminal; else the JSON.
+  void print(const nlohmann::json& value, const std::vector<std::vector<std::string>>& rows) const;
+};
+
 // Each adds its subcommands; what is chosen leaves its exit status in `status`.
 void add_lab(CLI::App& app, int& status);
+void add_registry(CLI::App& app, int& status);
+void add_targets(CLI::App& app, int& status);
 
 }  // namespace firspool::cli
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -15,6 +15,8 @@
   app.require_subcommand(1);
   int status = cli::kHeld;
   cli::add_lab(app, status);
+  cli::add_registry(app, status);
+  cli::add_targets(app, status);
   try {
     app.parse(argc, argv);
     return status;
--- /dev/null
+++ b/cli/registry.cpp
@@ -0,0 +1,225 @@
+// turntally registry: run, status, members, add, remove, hand-over, backup, restore.
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "command.h"
+#include "net/log.h"
+#include "net/toml.h"
+#include "registry/client.h"
+#include "registry/service.h"
+
+namespace firspool::cli {
+
+using nlohmann::json;
+using registry::Client;
+
+namespace {
+
+struct Options {
+  RegistryOptions where;
+  std::string file;
+  std::string level = "info";
+  uint64_t member = 0;
+  std::string raft;
+  std::string http;
+};
+
+int run(const Options& options) {
+  net::log::set_level(options.level);
+  const registry::Config config = registry::read_config(options.file, options.member);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);  // a full disk is an error, not a signal
+  rlimit files{};
+  if (::getrlimit(RLIMIT_NOFILE, &files) == 0) {
+    files.rlim_cur = files.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &files);
+  }
+  boost::asio::io_context io;
+  int status = kHeld;
+  registry::Service service(io, config, [&](const std::string& why) {
+    std::fprintf(stderr, "turntally registry: member %llu ends: %s\n",
+                 static_cast<unsigned long long>(config.member), why.c_str());
+    status = kBroken;
+    io.stop();
+  });
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
+  io.run();
+  net::log::info("ends", "member", config.member);
+  return status;
+}
+
+json read_json(const std::string& path) {
+  std::ifstream in(path);
+  if (!in) throw net::BadInput(path + ": cannot be read");
+  std::stringstream text;
+  text << in.rdbuf();
+  json out = json::parse(text.str(), nullptr, false);
+  if (out.is_discarded()) throw net::BadInput(path + ": is no JSON");
+  return out;
+}
+
+int status(const RegistryOptions& where) {
+  bool all = true;
+  json out = json::array();
+  std::vector<std::vector<std::string>> rows = {
+      {"ADDRESS", "MEMBER", "ROLE", "REVISION", "ENTRIES", "WATCHERS", "HEARD", "STATE"}};
+  for (const std::string& address : where.addresses()) {
+    const auto reply = net::http_call(net::parse_address(address), {"GET", "/registry/status", {}, ""});
+    const json s = reply && reply->status == 200 ? json::parse(reply->body, nullptr, false) : json();
+    if (!s.is_object()) {
+      all = false;
+      out.push_back({{"address", address}, {"reachable", false}});
+      rows.push_back({address, "-", "-", "-", "-", "-", "-", "does not answer"});
+      continue;
+    }
+    json one = s;
+    one["address"] = address;
+    one["reachable"] = true;
+    const int64_t heard = s["heard_ms"];
+    const std::string refusal = s["refusal"];
+    const bool well = refusal.empty() && heard >= 0 && heard < 3000;
+    all = all && well;
+    rows.push_back({address, s["member"].dump(), s["role"], s["revision"].dump(), s["entries"].dump(),
+                    s["watchers"].dump(), heard < 0 ? "never" : std::to_string(heard) + " ms",
+                    !refusal.empty() ? refusal
+                    : well           ? "well"
+                                     : "no majority heard"});
+    out.push_back(std::move(one));
+  }
+  where.print(out, rows);
+  return all ? kHeld : kBroken;
+}
+
+int members(const RegistryOptions& where) {
+  const json s = json::parse(where.client().get({"GET", "/registry/status", {}, ""}));
+  std::vector<std::vector<std::string>> rows = {{"MEMBER", "RAFT", "HTTP", "VOTES", "LEADS"}};
+  for (const json& m : s["members"]) {
+    rows.push_back({m["member"].dump(), m["raft"], m["http"], m["voter"].get<bool>() ? "yes" : "not yet",
+                    m["leader"].get<bool>() ? "yes" : ""});
+  }
+  where.print(s["members"], rows);
+  return kHeld;
+}
+
+}  // namespace
+
+void RegistryOptions::add_to(CLI::App& command) {
+  command.add_option("--at", at, "the members' HTTP addresses, with commas (or TURNTALLY_REGISTRY)")
+      ->envname("TURNTALLY_REGISTRY")
+      ->required();
+  command.add_flag("--json", json, "JSON, also on a terminal");
+}
+
+std::vector<std::string> RegistryOptions::addresses() const {
+  std::vector<std::string> out;
+  std::stringstream all(at);
+  for (std::string one; std::getline(all, one, ',');) {
+    try {
+      net::parse_address(one);
+    } catch (const std::invalid_argument&) {
+      throw net::BadInput("--at '" + one + "': is no address such as 127.0.0.1:7101");
+    }
+    out.push_back(one);
+  }
+  if (out.empty()) throw net::BadInput("--at: names no address");
+  return out;
+}
+
+Client RegistryOptions::client() const {
+  std::vector<net::tcp::endpoint> members;
+  for (const std::string& one : addresses()) members.push_back(net::parse_address(one));
+  return Client(std::move(members));
+}
+
+void RegistryOptions::print(const nlohmann::json& value,
+                            const std::vector<std::vector<std::string>>& rows) const {
+  if (json || ::isatty(1) == 0) return void(std::printf("%s\n", value.dump(2).c_str()));
+  std::vector<size_t> width;
+  for (const auto& row : rows) {
+    width.resize(std::max(width.size(), row.size()));
+    for (size_t i = 0; i < row.size(); ++i) width[i] = std::max(width[i], row[i].size());
+  }
+  for (const auto& row : rows) {
+    std::string line;
+    for (size_t i = 0; i < row.size(); ++i) {
+      line += row[i];
+      if (i + 1 < row.size()) line += std::string(width[i] - row[i].size() + 2, ' ');
+    }
+    std::printf("%s\n", line.c_str());
+  }
+}
+
+void add_registry(CLI::App& app, int& result) {
+  CLI::App* group =
+      app.add_subcommand("registry", "Run a member of the registry, and look after its members.");
+  group->require_subcommand(1);
+  group->footer("Example: turntally registry run deploy/registry.toml");
+  static Options options;
+  const auto command = [&](const char* name, const char* what, const char* example, auto act) {
+    CLI::App* out = group->add_subcommand(name, what);
+    options.where.add_to(*out);
+    out->footer(std::string("Example: turntally registry ") + example);
+    out->callback([&result, act] { result = act(); });
+    return out;
+  };
+  const auto by_number = [](CLI::App* to) {
+    to->add_option("MEMBER", options.member, "its number")->required()->check(CLI::Range(1, 999));
+  };
+
+  CLI::App* run_command = group->add_subcommand("run", "Run one member, until SIGTERM.");
+  run_command->add_option("CONFIG", options.file, "its configuration, in TOML")->required();
+  run_command->add_option("--member", options.member,
+                          "which of the members this one is, in place of the file's");
+  run_command->add_option("--log-level", options.level, "debug, info (default), warn or error");
+  run_command->footer("Example: turntally registry run deploy/registry.toml --member 2");
+  run_command->callback([&result] { result = run(options); });
+
+  command("status", "Ask each member how it is; exit status 1 where one is not well.",
+          "status --at 127.0.0.1:7101,127.0.0.1:7102,127.0.0.1:7103", [] { return status(options.where); });
+  command("members", "The members as the log knows them.", "members --at 127.0.0.1:7101",
+          [] { return members(options.where); });
+  CLI::App* add =
+      command("add", "Let a further member in; then start it with an empty folder.",
+              "add 4 --http 127.0.0.1:7104 --at 127.0.0.1:7101", [] {
+                const json body = {{"http", options.http}};
+                options.where.client().get(
+                    {"POST", "/registry/members/" + std::to_string(options.member), {}, body.dump()});
+                std::fprintf(stderr, "member %llu may join: start it\n",
+                             static_cast<unsigned long long>(options.member));
+                return kHeld;
+              });
+  by_number(add);
+  add->add_option("--http", options.http, "where clients call it")->required();
+  by_number(command("remove", "Take a member out of the registry.", "remove 4 --at 127.0.0.1:7101", [] {
+    options.where.client().get({"DELETE", "/registry/members/" + std::to_string(options.member), {}, ""});
+    std::fprintf(stderr, "member %llu is out\n", static_cast<unsigned long long>(options.member));
+    return kHeld;
+  }));
+  command("backup", "Write the whole list to standard output.", "backup --at 127.0.0.1:7101 > list.json", [] {
+    std::printf("%s", options.where.client().get({"GET", "/registry/backup", {}, ""}).c_str());
+    return kHeld;
+  });
+  CLI::App* restore = command(
+      "restore",
+      "Put a backup in the list's place. The list gets a new identity, so that all clients take it whole.",
+      "restore list.json --at 127.0.0.1:7101", [] {
+        const json backup = read_json(options.file);
+        const json now =
+            json::parse(options.where.client().get({"POST", "/registry/restore", {}, backup.dump()}));
+        std::fprintf(stderr, "restored: identity %s, revision %s\n",
+                     now["identity"].get<std::string>().c_str(), now["revision"].dump().c_str());
+        return kHeld;
+      });
+  restore->add_option("FILE", options.file, "a backup")->required();
+}
+
+}  // namespace firspool::cli
--- /dev/null
+++ b/cli/targets.cpp
@@ -0,0 +1,216 @@
+// turntally targets: list, watch, apply, drain, remove.
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+#include "command.h"
+#include "net/toml.h"
+#include "registry/service.h"
+
+namespace firspool::cli {
+namespace {
+
+using nlohmann::json;
+using registry::Client;
+
+struct Options {
+  RegistryOptions where;
+  std::string file;
+  std::vector<std::string> ids;
+  bool consistent = false;
+  bool whole = false;
+  bool yes = false;
+};
+
+json backup(Client& client) { return json::parse(client.get({"GET", "/registry/backup", {}, ""})); }
+
+std::vector<std::string> row_of(const json& m) {
+  return {m["id"],     m["host_port"],   m["cell"].dump(), m["locality"],
+          m["flavor"], m["size"].dump(), m["phase"]};
+}
+
+int list(const Options& options) {
+  const json all = json::parse(options.where.client().get(
+      {"GET", options.consistent ? "/api/targets?consistent=1" : "/api/targets", {}, ""}));
+  std::vector<std::vector<std::string>> rows = {{"ID", "ADDRESS", "CELL", "ZONE", "KIND", "SIZE", "PHASE"}};
+  for (const json& m : all["members"]) rows.push_back(row_of(m));
+  options.where.print(all, rows);
+  return kHeld;
+}
+
+int watch(const Options& options) {
+  const bool table = !options.where.json && ::isatty(1) != 0;
+  options.where.client().watch([&](const std::string& line) {
+    if (line.empty()) return true;
+    if (!table) {
+      std::printf("%s\n", line.c_str());
+    } else {
+      const json told = json::parse(line);
+      if (told.contains("heard_ms")) {
+        std::printf("%s  this member has heard of no majority for %s ms\n", told["revision"].dump().c_str(),
+                    told["heard_ms"].dump().c_str());
+      }
+      if (told["complete"].get<bool>()) {
+        std::printf("%s  whole list, %zu endpoints\n", told["revision"].dump().c_str(),
+                    told["members"].size());
+      }
+      for (const json& m : told["members"]) {
+        std::printf("%s  %-8s %s %s cell %s\n", told["revision"].dump().c_str(),
+                    m["phase"].get<std::string>().c_str(), m["id"].get<std::string>().c_str(),
+                    m["host_port"].get<std::string>().c_str(), m["cell"].dump().c_str());
+      }
+    }
+    return std::fflush(stdout) == 0;
+  });
+  return kHeld;
+}
+
+// Each with the revision that the change was made for, so that nobody else's is undone.
+int write(const Options& options, Client& client, const json& items) {
+  const net::HttpReply reply = client.ask(
+      {"POST", "/api/targets", {}, json({{"items", items}}).dump(), std::chrono::milliseconds(8000)});
+  const json said = json::parse(reply.body, nullptr, false);
+  if (reply.status == 412) {
+    throw std::runtime_error(said.value("error", "") +
+                             ": somebody changed it meanwhile; nothing was written");
+  }
+  if (reply.status != 200) {
+    throw std::runtime_error(said.is_object() ? said.value("error", "refused") : "refused");
+  }
+  if (options.where.json) std::printf("%s\n", said.dump().c_str());
+  std::fprintf(stderr, "%zu written, revision %s\n", items.size(), said["revision"].dump().c_str());
+  return kHeld;
+}
+
+bool confirmed(const Options& options) {
+  if (options.yes) return true;
+  if (::isatty(0) == 0) throw net::BadInput("say --yes: there is no terminal to ask at");
+  std::fprintf(stderr, "write this? [y/N] ");
+  std::string answer;
+  std::getline(std::cin, answer);
+  return answer == "y" || answer == "yes";
+}
+
+int apply(const Options& options) {
+  std::ifstream in(options.file);
+  if (!in) throw net::BadInput(options.file + ": cannot be read");
+  std::stringstream text;
+  text << in.rdbuf();
+  const json wanted = json::parse(text.str(), nullptr, false);
+  const char* const key = wanted.is_object() && wanted.contains("entries") ? "entries" : "members";
+  if (!wanted.is_object() || !wanted.contains(key) || !wanted[key].is_array()) {
+    throw net::BadInput(options.file + ": must be a JSON object with a list \"entries\" (or \"members\")");
+  }
+  Client client = options.where.client();
+  std::map<std::string, json> have;
+  for (const json& entry : backup(client)["entries"]) have[entry["id"]] = entry;
+  json items = json::array();
+  std::set<std::string> named;
+  size_t place = 0;
+  for (const json& one : wanted[key]) {
+    const std::string at = options.file + ": " + key + "[" + std::to_string(place++) + "]: ";
+    try {
+      registry::Entry entry = registry::entry_of(one, "");
+      if (!named.insert(entry.id).second) throw std::invalid_argument("'" + entry.id + "' is there twice");
+      json now = registry::json_of(entry);
+      now.erase("revision");
+      json before = have.contains(entry.id) ? have[entry.id] : json();
+      const json revision = before.is_null() ? json(0) : before["revision"];
+      if (!before.is_null()) before.erase("revision");
+      if (before == now) continue;
+      std::fprintf(stderr, "%s %s", before.is_null() ? "+" : "~", entry.id.c_str());
+      for (const auto& [field, value] : now.items()) {
+        if (before.is_null() ? field == "host_port" : before[field] != value) {
+          std::fprintf(stderr, "  %s %s%s", field.c_str(),
+                       before.is_null() ? "" : (before[field].dump() + " -> ").c_str(), value.dump().c_str());
+        }
+      }
+      std::fprintf(stderr, "\n");
+      items.push_back({{"id", entry.id}, {"entry", now}, {"if_match", revision}});
+    } catch (const std::invalid_argument& error) {
+      throw net::BadInput(at + error.what());
+    }
+  }
+  if (options.whole) {
+    for (const auto& [id, entry] : have) {
+      if (named.contains(id)) continue;
+      std::fprintf(stderr, "- %s  %s\n", id.c_str(), entry["host_port"].get<std::string>().c_str());
+      items.push_back({{"id", id}, {"entry", nullptr}, {"if_match", entry["revision"]}});
+    }
+  }
+  if (items.empty()) {
+    std::fprintf(stderr, "nothing to change\n");
+    return kHeld;
+  }
+  if (!confirmed(options)) {
+    std::fprintf(stderr, "nothing was written\n");
+    return kHeld;
+  }
+  return write(options, client, items);
+}
+
+int take_out(const Options& options, bool drain) {
+  Client client = options.where.client();
+  std::map<std::string, json> have;
+  for (const json& entry : backup(client)["entries"]) have[entry["id"]] = entry;
+  json items = json::array();
+  for (const std::string& id : options.ids) {
+    if (!have.contains(id)) throw net::BadInput("'" + id + "' is not listed");
+    json entry = have[id];
+    const json revision = entry["revision"];
+    entry.erase("revision");
+    entry["phase"] = "leaving";
+    items.push_back({{"id", id}, {"entry", drain ? entry : json()}, {"if_match", revision}});
+    std::fprintf(stderr, "%s %s  %s\n", drain ? "drain" : "-", id.c_str(),
+                 entry["host_port"].get<std::string>().c_str());
+  }
+  if (!confirmed(options)) {
+    std::fprintf(stderr, "nothing was written\n");
+    return kHeld;
+  }
+  return write(options, client, items);
+}
+
+}  // namespace
+
+void add_targets(CLI::App& app, int& result) {
+  CLI::App* group =
+      app.add_subcommand("targets", "The registry's list of endpoints: read, follow and change it.");
+  group->require_subcommand(1);
+  group->footer("Example: turntally targets list --at 127.0.0.1:7101");
+  static Options options;
+  const auto command = [&](const char* name, const char* what, const char* example, auto act) {
+    CLI::App* out = group->add_subcommand(name, what);
+    options.where.add_to(*out);
+    out->footer(std::string("Example: turntally targets ") + example);
+    out->callback([&result, act] { result = act(); });
+    return out;
+  };
+  const auto asks = [](CLI::App* to) { to->add_flag("--yes", options.yes, "do not ask"); };
+  const auto by_id = [&](CLI::App* to) {
+    to->add_option("ID", options.ids, "endpoints")->required();
+    asks(to);
+  };
+
+  command("list", "The whole list.", "list --at 127.0.0.1:7101", [] {
+    return list(options);
+  })->add_flag("--consistent", options.consistent, "as it is at the leader after all that has been written");
+  command("watch", "Follow the list, from member to member.", "watch --at 127.0.0.1:7101,127.0.0.1:7102",
+          [] { return watch(options); });
+  CLI::App* change = command("apply", "Show what a file would change, ask, and write it in one revision.",
+                             "apply list.json --at 127.0.0.1:7101", [] { return apply(options); });
+  change->add_option("FILE", options.file, "JSON with a list \"entries\"")->required();
+  change->add_flag("--whole", options.whole, "the file is the whole list: what it does not name goes");
+  asks(change);
+  by_id(command("drain", "Let endpoints finish what they have: their phase becomes leaving.",
+                "drain e-17 --at 127.0.0.1:7101", [] { return take_out(options, true); }));
+  by_id(command("remove", "Take endpoints off the list.", "remove e-17 --at 127.0.0.1:7101",
+                [] { return take_out(options, false); }));
+}
+
+}  // namespace firspool::cli
--- /dev/null
+++ b/registry/client.cpp
@@ -0,0 +1,127 @@
+#include "client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <stdexcept>
+#include <thread>
+
+#include "net/backoff.h"
+#include "net/random.h"
+
+namespace firspool::registry {
+namespace {
+
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+constexpr int kMostRedirects = 4;
+constexpr std::chrono::milliseconds kSilence{6000};  // a line is due every 2 s
+
+uint64_t seed() {
+  std::random_device random;
+  return (static_cast<uint64_t>(random()) << 32) ^ random();
+}
+
+std::string words_of(const net::HttpReply& reply) {
+  const json body = json::parse(reply.body, nullptr, false);
+  return body.is_object() && body.contains("error") ? body["error"].get<std::string>()
+                                                    : "status " + std::to_string(reply.status);
+}
+
+}  // namespace
+
+net::HttpReply Client::ask(net::HttpCall call) {
+  if (call.method != "GET" && !call.fields.contains("Idempotency-Key")) {
+    call.fields["Idempotency-Key"] = net::hex(seed());
+  }
+  const auto until = std::chrono::steady_clock::now() + patience_;
+  net::Backoff backoff(1, seed());
+  bool unknown = false;
+  std::string last = "no member can be reached";
+  do {
+    net::tcp::endpoint to = members_[at_ % members_.size()];
+    for (int i = 0; i <= kMostRedirects; ++i) {
+      const auto reply = net::http_call(to, call);
+      if (!reply) {
+        unknown = true;  // it may have arrived
+        break;
+      }
+      if (reply->status == 307 && reply->fields.contains("location")) {
+        const std::string& where = reply->fields.at("location");
+        if (!where.starts_with("http://")) break;
+        to = net::parse_address(where.substr(7, where.find('/', 7) - 7));
+        continue;
+      }
+      if (reply->status != 503) return *reply;
+      last = words_of(*reply);
+      const json body = json::parse(reply->body, nullptr, false);
+      unknown = unknown || (body.is_object() && body.value("outcome", "") == "unknown");
+      break;
+    }
+    ++at_;
+    std::this_thread::sleep_for(backoff.next());
+  } while (std::chrono::steady_clock::now() < until);
+  throw std::runtime_error(last +
+                           (unknown && call.method != "GET" ? "; the write may have been applied" : ""));
+}
+
+std::string Client::get(net::HttpCall call) {
+  const net::HttpReply reply = ask(std::move(call));
+  if (reply.status != 200) throw std::runtime_error(words_of(reply));
+  return reply.body;
+}
+
+void Client::watch(const std::function<bool(const std::string& line)>& line) {
+  int64_t revision = -1;
+  std::string identity;
+  net::Backoff backoff(1, seed());
+  for (;; ++at_, std::this_thread::sleep_for(backoff.next())) {
+    boost::asio::io_context io;
+    boost::beast::tcp_stream stream(io);
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    std::string target = "/api/targets?stream=1";
+    if (revision >= 0) target += "&index=" + std::to_string(revision) + "&identity=" + identity;
+    http::request<http::empty_body> request(http::verb::get, target, 11);
+    request.set(http::field::host, "registry");
+    std::string lines;
+    bool more = true;
+    std::function<void()> read = [&] {
+      stream.expires_after(kSilence);
+      http::async_read_some(stream, buffer, parser, [&](const boost::system::error_code& error, size_t) {
+        lines += parser.get().body();
+        parser.get().body().clear();
+        for (size_t end = 0; more && (end = lines.find('\n')) != std::string::npos; lines.erase(0, end + 1)) {
+          const std::string one = lines.substr(0, end);
+          const json told = json::parse(one, nullptr, false);
+          if (told.is_object()) {
+            revision = told.value("revision", revision);
+            identity = told.value("identity", identity);
+          }
+          backoff.reset();
+          more = line(one);
+        }
+        if (more && !error && !parser.is_done()) read();
+      });
+    };
+    stream.expires_after(kSilence);
+    stream.async_connect(members_[at_ % members_.size()], [&](const boost::system::error_code& failed) {
+      if (failed) return;
+      http::async_write(stream, request, [&](const boost::system::error_code& error, size_t) {
+        if (error) return;
+        http::async_read_header(stream, buffer, parser, [&](const boost::system::error_code& none, size_t) {
+          if (!none && parser.get().result() == http::status::ok) read();
+        });
+      });
+    });
+    io.run();
+    if (!more) return;
+  }
+}
+
+}  // namespace firspool::registry
--- /dev/null
+++ b/registry/hub.cpp
@@ -0,0 +1,121 @@
+#include "hub.h"
+
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+namespace firspool::registry {
+namespace {
+
+constexpr size_t kSlots = 20;  // quiet lines are spread over their 2 s
+constexpr auto kBeat = std::chrono::milliseconds(100);
+constexpr auto kAhead = std::chrono::seconds(5);
+
+}  // namespace
+
+Hub::Hub(boost::asio::io_context& io, const State& state, Late late)
+    : io_(io), state_(state), late_(std::move(late)), beat_(io) {
+  quiet();
+}
+
+Hub::~Hub() {
+  *alive_ = false;
+  for (Watcher& watcher : watchers_) watcher.stream->close();
+}
+
+void Hub::watch(const std::shared_ptr<net::HttpAnswer>& answer, const net::HttpReply& head, int64_t index,
+                const std::string& identity) {
+  const auto at = watchers_.emplace(watchers_.end());
+  at->slot = slots_++ % kSlots;
+  at->known = index < 0 ? 0 : static_cast<Revision>(index);
+  at->all = index < 0 || (!identity.empty() && identity != state_.identity());
+  if (!at->all && at->known > state_.revision()) {
+    ++counts_.behind;
+    at->ahead_until = std::chrono::steady_clock::now() + kAhead;
+  }
+  at->stream = answer->stream(
+      head, [this, at] { advance(*at); },
+      [this, at] {
+        if (*alive_) watchers_.erase(at);
+      });
+  if (at->stream == nullptr) watchers_.erase(at);
+}
+
+// What it has not been told, if its connection takes more.
+void Hub::advance(Watcher& watcher) {
+  if (watcher.stream == nullptr || !watcher.stream->idle()) return;
+  if (!watcher.all && watcher.known > state_.revision()) {
+    if (std::chrono::steady_clock::now() < watcher.ahead_until) return;
+    watcher.all = true;
+  }
+  // The first line says where the watch begins, also where nothing has changed.
+  if (!watcher.first && !watcher.all && watcher.known == state_.revision()) return;
+  watcher.first = false;
+  net::Shared chunk = watcher.all ? nullptr : since(watcher.known);
+  if (chunk == nullptr) {
+    whole();
+    chunk = whole_chunk_;
+    ++counts_.whole;
+  }
+  watcher.all = false;
+  watcher.known = state_.revision();
+  watcher.told = true;
+  ++counts_.sent;
+  watcher.stream->write(std::move(chunk));
+}
+
+void Hub::changed() {
+  if (std::exchange(passing_, true)) return;
+  boost::asio::post(io_, [this, alive = alive_] {
+    if (*alive) pass();
+  });
+}
+
+void Hub::pass() {
+  passing_ = false;
+  for (Watcher& watcher : watchers_) advance(watcher);
+}
+
+net::Shared Hub::since(Revision revision) {
+  if (encoded_at_ != state_.revision()) {
+    since_.clear();
+    encoded_at_ = state_.revision();
+  }
+  const auto it = since_.find(revision);
+  if (it != since_.end()) return it->second;
+  net::Shared chunk;
+  if (const auto changes = state_.since(revision)) {
+    chunk = std::make_shared<std::string>(net::http_chunk(state_.line(*changes).dump() + "\n"));
+    ++counts_.encoded;
+  }
+  return since_[revision] = chunk;
+}
+
+net::Shared Hub::whole() {
+  if (whole_line_ == nullptr || whole_at_ != state_.revision()) {
+    whole_at_ = state_.revision();
+    whole_line_ = std::make_shared<std::string>(state_.list().dump() + "\n");
+    whole_chunk_ = std::make_shared<std::string>(net::http_chunk(*whole_line_));
+    ++counts_.encoded;
+  }
+  return whole_line_;
+}
+
+void Hub::quiet() {
+  static const net::Shared kEmpty = std::make_shared<std::string>(net::http_chunk("\n"));
+  net::Shared line = kEmpty;
+  if (const nlohmann::json late = late_(); !late.is_null()) {
+    line = std::make_shared<std::string>(net::http_chunk(late.dump() + "\n"));
+  }
+  slot_ = (slot_ + 1) % kSlots;
+  for (Watcher& watcher : watchers_) {
+    if (watcher.slot != slot_) continue;
+    advance(watcher);
+    if (!std::exchange(watcher.told, false) && watcher.stream->idle()) watcher.stream->write(line);
+  }
+  beat_.expires_after(kBeat);
+  beat_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) quiet();
+  });
+}
+
+}  // namespace firspool::registry
--- /dev/null
+++ b/registry/service.cpp
@@ -0,0 +1,755 @@
+#include "service.h"
+
+#include <sys/statvfs.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <stdexcept>
+
+#include "net/log.h"
+#include "net/random.h"
+
+namespace firspool::registry {
+namespace {
+
+namespace fs = std::filesystem;
+namespace log = net::log;
+using net::HttpReply;
+using net::HttpRequest;
+using nlohmann::json;
+
+constexpr uint64_t kNumbers = 1000;  // a member's id in the log: its number, and above it which try this is
+constexpr size_t kMostInFlight = 4096;
+constexpr int64_t kLateMs = 3000;  // a member that has not heard from a majority for so long says so
+constexpr auto kJoinPause = std::chrono::milliseconds(200);
+constexpr std::array kCommitBounds = {0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0};
+
+std::string new_identity() {
+  std::random_device random;
+  const uint64_t high = random();
+  return net::hex((high << 32) ^ random());
+}
+
+HttpReply failure(int status, const std::string& error, const char* outcome = "none") {
+  HttpReply reply{
+      status, json({{"error", error}, {"outcome", outcome}}).dump() + "\n", "application/json", {}};
+  if (status == 503) reply.fields["Retry-After"] = "1";
+  return reply;
+}
+
+std::optional<uint64_t> number_of(const std::string& text) {
+  uint64_t out = 0;
+  const auto end = text.data() + text.size();
+  const auto [at, error] = std::from_chars(text.data(), end, out);
+  if (error != std::errc() || at != end) return {};
+  return out;
+}
+
+// If-Match: "123" or 123; If-None-Match: * for what is not there yet. Throws on anything else.
+std::optional<Revision> match_of(const HttpRequest& request) {
+  if (const auto it = request.fields.find("if-none-match"); it != request.fields.end()) {
+    if (it->second != "*") throw std::invalid_argument("If-None-Match: only * is known here");
+    return 0;
+  }
+  const auto it = request.fields.find("if-match");
+  if (it == request.fields.end()) return {};
+  std::string text = it->second;
+  if (text.size() >= 2 && text.front() == '"' && text.back() == '"') text = text.substr(1, text.size() - 2);
+  const auto out = number_of(text);
+  if (!out) throw std::invalid_argument("If-Match: '" + it->second + "' is no revision");
+  return out;
+}
+
+template <typename T>
+T field(const json& from, const char* key, const T& fallback) {
+  const auto it = from.find(key);
+  if (it == from.end() || it->is_null()) return fallback;
+  try {
+    return it->get<T>();
+  } catch (const json::exception&) {
+    throw std::invalid_argument(std::string(key) + ": " + it->dump() + " does not fit");
+  }
+}
+
+json parsed(const std::string& body) {
+  json out = json::parse(body, nullptr, false);
+  if (out.is_discarded() || !out.is_object()) throw std::invalid_argument("the body is no JSON object");
+  return out;
+}
+
+std::string rest_of(const std::string& path, const std::string& prefix) {
+  return path.size() > prefix.size() && path.starts_with(prefix) ? path.substr(prefix.size()) : "";
+}
+
+}  // namespace
+
+Entry entry_of(const json& from, const std::string& id) {
+  if (!from.is_object()) throw std::invalid_argument("an entry must be a JSON object");
+  static const std::set<std::string> kKnown = {"id",    "host_port", "locality",    "flavor", "cell",
+                                               "phase", "size",      "up_since_ms", "ttl_ms", "revision"};
+  for (const auto& [key, value] : from.items()) {
+    if (!kKnown.contains(key)) throw std::invalid_argument("'" + key + "' is no field of an entry");
+  }
+  Entry out;
+  out.id = field<std::string>(from, "id", id);
+  if (out.id.empty() || out.id.size() > 200) throw std::invalid_argument("id must have 1 to 200 characters");
+  if (!id.empty() && out.id != id) throw std::invalid_argument("id '" + out.id + "' is not '" + id + "'");
+  out.host_port = field<std::string>(from, "host_port", "");
+  try {
+    net::parse_address(out.host_port);
+  } catch (const std::invalid_argument&) {
+    throw std::invalid_argument("host_port '" + out.host_port + "' is no address such as 127.0.0.1:80");
+  }
+  out.locality = field<std::string>(from, "locality", "");
+  out.flavor = field<std::string>(from, "flavor", "");
+  out.cell = field<int>(from, "cell", 0);
+  out.phase = field<std::string>(from, "phase", "active");
+  if (out.phase != "active" && out.phase != "leaving") {
+    throw std::invalid_argument("phase '" + out.phase + "' must be active or leaving");
+  }
+  out.size = field<double>(from, "size", 1);
+  if (!std::isfinite(out.size) || out.size < 0) throw std::invalid_argument("size must be 0 or more");
+  out.up_since_ms = field<int64_t>(from, "up_since_ms", 0);
+  out.ttl_ms = field<int64_t>(from, "ttl_ms", 0);
+  if (out.ttl_ms < 0) throw std::invalid_argument("ttl_ms must be 0 or more");
+  return out;
+}
+
+json json_of(const Entry& entry) {
+  json out = State::member(entry, entry.phase);
+  out["ttl_ms"] = entry.ttl_ms;
+  out["revision"] = entry.revision;
+  return out;
+}
+
+// Brings this member into the log. It has one already; or nobody has, then it begins one with all the others;
+// or they have, then what this member knew is lost, and it comes in again under a new id: one that has
+// forgotten how it voted must not vote under the old one.
+class Service::Join : public std::enable_shared_from_this<Join> {
+ public:
+  explicit Join(Service& owner) : owner_(&owner), pause_(owner.io_) {}
+
+  void start() {
+    const Config& config = owner_->config_;
+    if (config.members.size() == 1) return owner_->open(config.member, true);
+    asked_ = answered_ = 0;
+    for (const MemberAddress& other : config.members) {
+      if (other.number == config.member) continue;
+      ++asked_;
+      net::http_call(owner_->io_, net::parse_address(other.http),
+                     {"GET", "/registry/status", {}, "", std::chrono::milliseconds(1000)},
+                     [self = shared_from_this(), other](const std::optional<HttpReply>& reply) {
+                       self->heard(other, reply);
+                     });
+    }
+  }
+
+  void stop() {
+    owner_ = nullptr;
+    pause_.cancel();
+  }
+
+ private:
+  void heard(const MemberAddress& from, const std::optional<HttpReply>& reply) {
+    if (owner_ == nullptr || opened_) return;
+    ++answered_;
+    const json status = reply ? json::parse(reply->body, nullptr, false) : json();
+    if (status.is_object()) {
+      // A log of one entry only names its members: nothing was ever written to it by a majority.
+      const int64_t last = status.value("last", int64_t{-1});
+      if (last >= 0) ++readable_;
+      if (last > 1 || !status.value("identity", "").empty()) other_ = from;
+    }
+    if (answered_ < asked_) return;
+    const size_t readable = std::exchange(readable_, 0);
+    if (other_) return ask_to_join();
+    if (readable == asked_) {
+      opened_ = true;
+      return owner_->open(owner_->config_.member, true);
+    }
+    say("waiting_to_begin", "others", asked_, "answer", readable);
+    again();
+  }
+
+  template <typename... Fields>
+  void say(const char* event, const Fields&... fields) {
+    if (said_++ % 25 == 0) log::info(event, fields...);  // every 5 s
+  }
+
+  void again() {
+    pause_.expires_after(kJoinPause);
+    pause_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+      if (!error && self->owner_ != nullptr) self->start();
+    });
+  }
+
+  void ask_to_join() {
+    const MemberAddress& me = owner_->config_.self();
+    std::string at = std::exchange(leader_, "");
+    if (at.empty()) at = other_->http;
+    say("joining", "by", at, "member", me.number);
+    net::http_call(owner_->io_, net::parse_address(at),
+                   {"PUT",
+                    "/registry/members/" + std::to_string(me.number),
+                    {},
+                    json({{"raft", me.raft}, {"http", me.http}}).dump(),
+                    std::chrono::milliseconds(5000)},
+                   [self = shared_from_this()](const std::optional<HttpReply>& reply) { self->told(reply); });
+  }
+
+  void told(const std::optional<HttpReply>& reply) {
+    if (owner_ == nullptr) return;
+    if (reply && reply->status == 307 && reply->fields.contains("location")) {
+      const std::string& to = reply->fields.at("location");
+      if (to.starts_with("http://")) leader_ = to.substr(7, to.find('/', 7) - 7);
+    }
+    if (reply && reply->status == 200) {
+      const json body = json::parse(reply->body, nullptr, false);
+      if (body.is_object() && body.value("id", uint64_t{0}) != 0) {
+        opened_ = true;
+        return owner_->open(body["id"].get<uint64_t>(), false);
+      }
+    }
+    if (reply && reply->status == 404) {
+      return owner_->fatal_("member " + std::to_string(owner_->config_.member) +
+                            " is not one of the registry's: turntally registry add " +
+                            std::to_string(owner_->config_.member));
+    }
+    again();
+  }
+
+  Service* owner_;
+  boost::asio::steady_timer pause_;
+  size_t asked_ = 0;
+  size_t answered_ = 0;
+  size_t readable_ = 0;
+  size_t said_ = 0;
+  bool opened_ = false;
+  std::optional<MemberAddress> other_;  // that has a log
+  std::string leader_;
+};
+
+Service::Service(boost::asio::io_context& io, Config config, std::function<void(const std::string&)> fatal)
+    : io_(io), config_(std::move(config)), fatal_(std::move(fatal)), tick_(io) {
+  figures_.commit_buckets.resize(kCommitBounds.size() + 1);
+  fs::create_directories(config_.folder);
+  hub_ = std::make_unique<Hub>(io_, state_, [this] {
+    const int64_t heard = heard_ms();
+    if (heard >= 0 && heard < kLateMs) return json();
+    return json({{"revision", state_.revision()},
+                 {"complete", false},
+                 {"identity", state_.identity()},
+                 {"heard_ms", heard},
+                 {"members", json::array()}});
+  });
+  const std::string listen = config_.http_listen.empty() ? config_.self().http : config_.http_listen;
+  server_ = std::make_unique<net::HttpServer>(
+      io_, net::parse_address(listen), net::HttpLimits{},
+      [this](const HttpRequest& request, const Answer& answer) { handle(request, answer); });
+  log::info("listening", "http", listen, "member", config_.member, "folder", config_.folder);
+  uint64_t id = 0;
+  std::ifstream(config_.folder + "/member") >> id;
+  if (id != 0) {
+    open(id, false);
+  } else {
+    join_ = std::make_shared<Join>(*this);
+    join_->start();
+  }
+  tick();
+}
+
+Service::~Service() {
+  if (join_) join_->stop();
+}
+
+void Service::open(uint64_t id, bool found) {
+  const std::string path = config_.folder + "/member";
+  const auto keep = [&] {
+    std::ofstream out(path + ".new");
+    out << id << "\n";
+    out.close();
+    std::error_code error;
+    fs::rename(path + ".new", path, error);
+    if (!out || error) fatal_(path + ": cannot be written");
+  };
+  id_ = id;
+  ReplicaSettings settings;
+  settings.id = id;
+  settings.address = config_.self().raft;
+  settings.listen = config_.raft_listen;
+  settings.folder = config_.folder;
+  settings.dial = config_.dial;
+  settings.election_ms = config_.election_ms;
+  settings.heartbeat_ms = config_.heartbeat_ms;
+  if (found) {
+    for (const MemberAddress& m : config_.members) settings.found.push_back({m.number, m.raft});
+  }
+  keep();
+  Replica::Listener listener;
+  listener.applied = [this](uint64_t index, const Command& command, const registry::Answer& answer) {
+    applied(index, command, answer);
+  };
+  listener.restored = [this](uint64_t index, State state) {
+    if (index <= index_) return;
+    index_ = index;
+    state_ = std::move(state);
+    hub_->changed();
+  };
+  listener.standing = [this](const Standing& now) { standing(now); };
+  listener.trouble = [this](const std::string& why) {
+    ++figures_.reopened;
+    trouble_ = why;
+    log::error("log_closed", "why", why);
+  };
+  listener.diverged = [this](const std::string& what) { fatal_(what); };
+  log::info("log_opens", "id", id, "begins", found ? 1 : 0);
+  replica_ = std::make_unique<Replica>(io_, std::move(settings), std::move(listener));
+}
+
+void Service::applied(uint64_t index, const Command& command, const registry::Answer&) {
+  if (index <= index_) return;  // the log was opened again
+  index_ = index;
+  heard_ = net::steady_now();
+  const Revision before = state_.revision();
+  const Revision compacted = state_.compacted();
+  state_.apply(index, command);
+  if (state_.compacted() != compacted) ++figures_.compactions;
+  if (state_.revision() != before) hub_->changed();
+}
+
+void Service::standing(const Standing& now) {
+  const Standing before = std::exchange(standing_, now);
+  if (now.role != Standing::Role::kDown) trouble_.clear();
+  if (before.leader != now.leader || (before.role != now.role && leads())) {
+    if (now.leader != 0) ++figures_.leader_changes;
+    log::info("leader", "id", now.leader, "term", now.term, "role", name_of(now.role));
+  }
+  if (!leads() || before.role == Standing::Role::kLeader) return;
+  lead_from_ = net::steady_now();
+  lead_from_ms_ = state_.now();
+  tick();
+}
+
+Millis Service::now_ms() const { return lead_from_ms_ + (net::steady_now() - lead_from_) / 1000; }
+
+int64_t Service::heard_ms() const { return heard_ == 0 ? -1 : (net::steady_now() - heard_) / 1000; }
+
+// What the leader does by level, not by event: whatever is not as it should be is put right the next time.
+void Service::tick() {
+  tick_.expires_after(std::chrono::milliseconds(config_.tick_ms));
+  tick_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) tick();
+  });
+  if (!leads() || in_flight_ >= kMostInFlight) return;
+  const auto ignored = [](const Result&) {};
+  if (state_.identity().empty()) {
+    Command found{Command::Kind::kFound, now_ms(), "", {}, new_identity(), 0};
+    found.number = static_cast<uint64_t>(net::wall_now() / 1000);
+    replica_->propose(found, ignored);
+  }
+  replica_->propose({Command::Kind::kTick, now_ms(), "", {}, "", 0}, ignored);
+  for (const Peer& peer : standing_.members) {
+    const uint64_t number = peer.id % kNumbers;
+    const auto known = std::find_if(config_.members.begin(), config_.members.end(),
+                                    [&](const MemberAddress& m) { return m.number == number; });
+    if (known != config_.members.end() && !state_.members().contains(number)) {
+      replica_->propose({Command::Kind::kMember, now_ms(), "", {}, known->http, number}, ignored);
+    }
+  }
+  const auto waiting = std::find_if(standing_.members.begin(), standing_.members.end(),
+                                    [](const Peer& peer) { return !peer.voter; });
+  if (waiting != standing_.members.end()) replica_->promote(waiting->id, ignored);
+}
+
+std::string Service::http_of(uint64_t number) const {
+  const auto it = state_.members().find(number);
+  if (it != state_.members().end()) return it->second;
+  for (const MemberAddress& m : config_.members) {
+    if (m.number == number) return m.http;
+  }
+  return "";
+}
+
+HttpReply Service::head() const {
+  HttpReply out;
+  out.fields["X-Registry-Revision"] = std::to_string(state_.revision());
+  out.fields["X-Registry-Identity"] = state_.identity();
+  out.fields["X-Registry-Heard-Ms"] = std::to_string(heard_ms());
+  out.fields["X-Registry-Member"] = std::to_string(config_.member);
+  return out;
+}
+
+std::string Service::refusal() const {
+  if (replica_ == nullptr) return "this member is not in the registry's log yet";
+  if (!trouble_.empty()) return "this member's log is closed: " + trouble_;
+  struct statvfs disk {};
+  if (::statvfs(config_.folder.c_str(), &disk) == 0 &&
+      static_cast<double>(disk.f_bavail) * static_cast<double>(disk.f_frsize) < 1e6 * config_.free_mb) {
+    return "less than " + std::to_string(config_.free_mb) + " MB free in " + config_.folder;
+  }
+  return "";
+}
+
+void Service::at_leader(const HttpRequest& request, const Answer& answer, const std::function<void()>& here) {
+  if (leads()) {
+    if (const std::string why = refusal(); !why.empty()) return answer->reply(failure(507, why));
+    return here();
+  }
+  const std::string leader = standing_.leader == 0 ? "" : http_of(standing_.leader % kNumbers);
+  if (leader.empty() || leader == config_.self().http) {
+    const std::string why = refusal();
+    return answer->reply(failure(why.empty() ? 503 : 507, why.empty() ? "no leader is known" : why));
+  }
+  ++figures_.redirected;
+  HttpReply reply = head();
+  reply.status = 307;
+  reply.fields["Location"] = "http://" + leader + request.target;
+  answer->reply(std::move(reply));
+}
+
+// A write, once: it has been answered, or its time is up.
+struct Service::Write {
+  Answer answer;
+  boost::asio::steady_timer late;
+  net::Time begun = net::steady_now();
+  bool answered = false;
+  void reply(HttpReply reply) {
+    if (std::exchange(answered, true)) return;
+    late.cancel();
+    answer->reply(std::move(reply));
+  }
+};
+
+void Service::write(const HttpRequest& request, const Answer& answer, Command command) {
+  if (const auto it = request.fields.find("idempotency-key"); it != request.fields.end()) {
+    if (it->second.size() > 200) return answer->reply(failure(400, "Idempotency-Key: over 200 characters"));
+    command.request = it->second;
+  }
+  at_leader(request, answer, [&] {
+    if (in_flight_ >= kMostInFlight) return answer->reply(failure(503, "too many writes are under way"));
+    ++in_flight_;
+    command.now_ms = now_ms();
+    auto write = std::make_shared<Write>(Write{answer, boost::asio::steady_timer(io_)});
+    write->late.expires_after(std::chrono::milliseconds(config_.write_ms));
+    write->late.async_wait([this, write](const boost::system::error_code& error) {
+      if (error || write->answered) return;
+      ++figures_.unknown;
+      write->reply(
+          failure(503, "no majority of the members answered in " + std::to_string(config_.write_ms) + " ms",
+                  "unknown"));
+    });
+    replica_->propose(command, [this, write](const Result& result) {
+      --in_flight_;
+      HttpReply reply = head();
+      switch (result.fate) {
+        case Fate::kNotLeader:
+          return write->reply(failure(503, result.why));
+        case Fate::kRefused:
+          return write->reply(failure(507, result.why));
+        case Fate::kUnknown:
+          ++figures_.unknown;
+          return write->reply(failure(503, result.why, "unknown"));
+        case Fate::kDone:
+          break;
+      }
+      const double took = static_cast<double>(net::steady_now() - write->begun) / 1e6;
+      const auto at = std::lower_bound(kCommitBounds.begin(), kCommitBounds.end(), took);
+      ++figures_.commit_buckets[static_cast<size_t>(at - kCommitBounds.begin())];
+      figures_.commit_sum_s += took;
+      ++figures_.writes;
+      json body = {{"revision", result.answer.revision}, {"identity", state_.identity()}};
+      if (result.answer.kind != registry::Answer::Kind::kDone) {
+        ++figures_.refused;
+        const bool conflict = result.answer.kind == registry::Answer::Kind::kConflict;
+        reply.status = conflict ? 412 : 404;
+        body["id"] = result.answer.id;
+        body["outcome"] = "none";
+        body["error"] = conflict ? "'" + result.answer.id + "' has another revision"
+                                 : "'" + result.answer.id + "' is not registered";
+      }
+      reply.body = body.dump() + "\n";
+      write->reply(std::move(reply));
+    });
+  });
+}
+
+void Service::begin_barrier() {
+  if (barrier_out_ || barrier_next_.empty()) return;
+  barrier_out_ = true;
+  replica_->barrier([this, waiting = std::exchange(barrier_next_, {})](const Result& result) {
+    barrier_out_ = false;
+    begin_barrier();
+    for (const auto& then : waiting) then(result);
+  });
+}
+
+// One barrier serves all that came before it went out.
+void Service::barrier(std::function<void(const Result&)> then) {
+  barrier_next_.push_back(std::move(then));
+  begin_barrier();
+}
+
+void Service::list(const HttpRequest& request, const Answer& answer) {
+  ++figures_.reads;
+  const auto query = [&](const char* key) {
+    const auto it = request.query.find(key);
+    return it == request.query.end() ? std::string() : it->second;
+  };
+  if (state_.identity().empty()) return answer->reply(failure(503, "this member has no list yet"));
+  if (query("stream") == "1") {
+    HttpReply reply = head();
+    reply.type = "application/x-ndjson";
+    const auto index = number_of(query("index"));
+    return hub_->watch(answer, reply, index ? static_cast<int64_t>(*index) : -1, query("identity"));
+  }
+  const auto whole = [this, answer] {
+    HttpReply reply = head();
+    reply.body = *hub_->whole();
+    answer->reply(std::move(reply));
+  };
+  if (query("consistent") != "1") return whole();
+  at_leader(request, answer, [&] {
+    ++figures_.consistent;
+    barrier([answer, whole](const Result& result) {
+      if (result.fate == Fate::kDone) return whole();
+      answer->reply(failure(503, result.why));
+    });
+  });
+}
+
+void Service::targets(const HttpRequest& request, const Answer& answer) {
+  const std::string id = rest_of(request.path, "/api/targets/");
+  if (id.empty() && request.method == "GET") return list(request, answer);
+  Command command{Command::Kind::kWrite, 0, "", {}, "", 0};
+  if (id.empty() && request.method == "POST") {
+    const json body = parsed(request.body);
+    const auto items = body.find("items");
+    if (items == body.end() || !items->is_array()) throw std::invalid_argument("items: is no list");
+    for (const json& one : *items) {
+      Item item;
+      if (!one.is_object()) throw std::invalid_argument("items: each must be an object");
+      item.id = field<std::string>(one, "id", "");
+      if (item.id.empty()) throw std::invalid_argument("items: each must have an id");
+      if (one.contains("entry") && !one["entry"].is_null()) item.entry = entry_of(one["entry"], item.id);
+      if (one.contains("if_match")) item.if_match = field<Revision>(one, "if_match", 0);
+      command.items.push_back(std::move(item));
+    }
+  } else if (!id.empty() && request.method == "PUT") {
+    command.items.push_back({id, entry_of(parsed(request.body), id), match_of(request)});
+  } else if (!id.empty() && request.method == "DELETE") {
+    command.items.push_back({id, {}, match_of(request)});
+  } else if (!id.empty() && request.method == "GET") {
+    const auto it = state_.entries().find(id);
+    if (it == state_.entries().end()) return answer->reply(failure(404, "'" + id + "' is not listed"));
+    HttpReply reply = head();
+    reply.fields["ETag"] = "\"" + std::to_string(it->second.revision) + "\"";
+    reply.body = json_of(it->second).dump() + "\n";
+    return answer->reply(std::move(reply));
+  } else {
+    return answer->reply(failure(405, request.method + " is not known here"));
+  }
+  write(request, answer, std::move(command));
+}
+
+// Endpoints that say themselves that they are there: PUT, then POST again and again within the TTL.
+void Service::registrations(const HttpRequest& request, const Answer& answer) {
+  const std::string id = rest_of(request.path, "/api/registrations/");
+  if (id.empty()) return answer->reply(failure(404, "no such call"));
+  if (request.method == "POST") {
+    return write(request, answer, {Command::Kind::kRenew, 0, "", {{id, {}, {}}}, "", 0});
+  }
+  if (request.method != "PUT") return answer->reply(failure(405, request.method + " is not known here"));
+  const Entry entry = entry_of(parsed(request.body), id);
+  if (entry.ttl_ms <= 0) throw std::invalid_argument("ttl_ms: a registration needs one");
+  write(request, answer, {Command::Kind::kRegister, 0, "", {{id, entry, {}}}, "", 0});
+}
+
+void Service::drop(uint64_t number, std::function<void(const Result&)> then) {
+  const auto it = std::find_if(standing_.members.begin(), standing_.members.end(),
+                               [&](const Peer& peer) { return peer.id % kNumbers == number; });
+  if (it == standing_.members.end()) return then({});
+  log::info("member_removed", "id", it->id);
+  replica_->remove(it->id, [this, number, id = it->id, then](const Result& result) {
+    if (result.fate != Fate::kDone) return then(result);
+    std::erase_if(standing_.members, [&](const Peer& peer) { return peer.id == id; });
+    drop(number, then);
+  });
+}
+
+void Service::join(uint64_t number, const MemberAddress& address, const Answer& answer) {
+  const bool known = state_.members().contains(number) ||
+                     std::any_of(standing_.members.begin(), standing_.members.end(),
+                                 [&](const Peer& peer) { return peer.id % kNumbers == number; });
+  if (!known) return answer->reply(failure(404, "member " + std::to_string(number) + " was not added"));
+  drop(number, [this, number, address, answer](const Result& dropped) {
+    if (dropped.fate != Fate::kDone) return answer->reply(failure(503, dropped.why));
+    // Never used before: the log only grows.
+    const uint64_t id = number + kNumbers * (standing_.last + 1);
+    replica_->add(id, address.raft, [this, id, address, answer](const Result& added) {
+      if (added.fate != Fate::kDone) return answer->reply(failure(503, added.why));
+      log::info("member_added", "id", id, "raft", address.raft);
+      replica_->propose({Command::Kind::kMember, now_ms(), "", {}, address.http, id % kNumbers},
+                        [answer, id](const Result&) {
+                          answer->reply({200, json({{"id", id}}).dump() + "\n", "application/json", {}});
+                        });
+    });
+  });
+}
+
+void Service::members(const HttpRequest& request, const Answer& answer) {
+  const auto number = number_of(rest_of(request.path, "/registry/members/"));
+  if (!number || *number == 0 || *number >= kNumbers) {
+    return answer->reply(failure(400, "a member has a number from 1 to 999"));
+  }
+  if (request.method == "PUT" || request.method == "POST") {
+    const json body = parsed(request.body);
+    MemberAddress address{*number, field<std::string>(body, "raft", ""),
+                          field<std::string>(body, "http", "")};
+    net::parse_address(address.http);
+    if (request.method == "POST") {  // may join, once it is started
+      return write(request, answer, {Command::Kind::kMember, 0, "", {}, address.http, *number});
+    }
+    net::parse_address(address.raft);
+    return at_leader(request, answer, [&] { join(*number, address, answer); });
+  }
+  if (request.method != "DELETE") return answer->reply(failure(405, request.method + " is not known here"));
+  at_leader(request, answer, [&] {
+    if (standing_.leader % kNumbers == *number) {
+      if (standing_.members.size() < 2) return answer->reply(failure(409, "it is the last member"));
+      return replica_->transfer(0, [answer](const Result& result) {
+        answer->reply(
+            failure(503, result.fate == Fate::kDone
+                             ? "the member leads: it has handed the lead over, ask again"
+                             : "the member leads, and its lead cannot be handed over: " + result.why));
+      });
+    }
+    drop(*number, [this, number = *number, request, answer](const Result& result) {
+      if (result.fate != Fate::kDone) return answer->reply(failure(503, result.why));
+      write(request, answer, {Command::Kind::kMember, 0, "", {}, "", number});
+    });
+  });
+}
+
+void Service::restore(const HttpRequest& request, const Answer& answer) {
+  const json backup = parsed(request.body);
+  if (field<int>(backup, "format", 0) != 1) throw std::invalid_argument("format: this program reads 1");
+  Command command{Command::Kind::kRestore, 0, "", {}, new_identity(), 0};
+  command.number =
+      std::max(field<Revision>(backup, "revision", 0) + 1, static_cast<Revision>(net::wall_now() / 1000));
+  const auto entries = backup.find("entries");
+  if (entries == backup.end() || !entries->is_array()) throw std::invalid_argument("entries: is no list");
+  for (const json& one : *entries) {
+    const Entry entry = entry_of(one, "");
+    command.items.push_back({entry.id, entry, {}});
+  }
+  write(request, answer, std::move(command));
+}
+
+json Service::status() const {
+  json members = json::array();
+  for (const Peer& peer : standing_.members) {
+    members.push_back({{"member", peer.id % kNumbers},
+                       {"id", peer.id},
+                       {"raft", peer.address},
+                       {"http", http_of(peer.id % kNumbers)},
+                       {"voter", peer.voter},
+                       {"leader", peer.id == standing_.leader}});
+  }
+  return {{"member", config_.member},
+          {"id", id_},
+          {"role", name_of(standing_.role)},
+          {"leader", standing_.leader % kNumbers},
+          {"term", standing_.term},
+          {"last",
+           replica_ && standing_.role == Standing::Role::kDown ? -1 : static_cast<int64_t>(standing_.last)},
+          {"applied", index_},
+          {"identity", state_.identity()},
+          {"revision", state_.revision()},
+          {"compacted", state_.compacted()},
+          {"entries", state_.entries().size()},
+          {"registrations", state_.registrations()},
+          {"expiry_held", state_.held()},
+          {"heard_ms", heard_ms()},
+          {"watchers", hub_->watchers()},
+          {"refusal", refusal()},
+          {"members", members}};
+}
+
+std::string Service::metrics() const {
+  std::string out;
+  const auto one = [&](const char* name, const char* kind, auto value) {
+    out += std::string("# TYPE registry_") + name + " " + kind + "\nregistry_" + name + " " +
+           std::to_string(value) + "\n";
+  };
+  one("watchers", "gauge", hub_->watchers());
+  one("connections", "gauge", server_->connections());
+  one("revision", "gauge", state_.revision());
+  one("entries", "gauge", state_.entries().size());
+  one("registrations", "gauge", state_.registrations());
+  one("expiry_held", "gauge", state_.held() ? 1 : 0);
+  one("leads", "gauge", leads() ? 1 : 0);
+  one("heard_seconds", "gauge", static_cast<double>(heard_ms()) / 1000);
+  one("leader_changes_total", "counter", figures_.leader_changes);
+  one("compactions_total", "counter", figures_.compactions);
+  one("log_reopened_total", "counter", figures_.reopened);
+  one("reads_total", "counter", figures_.reads);
+  one("consistent_reads_total", "counter", figures_.consistent);
+  one("redirected_total", "counter", figures_.redirected);
+  one("writes_refused_total", "counter", figures_.refused);
+  one("writes_unknown_total", "counter", figures_.unknown);
+  one("watch_lines_encoded_total", "counter", hub_->counts().encoded);
+  one("watch_lines_sent_total", "counter", hub_->counts().sent);
+  one("watch_whole_lists_total", "counter", hub_->counts().whole);
+  one("watch_ahead_total", "counter", hub_->counts().behind);
+  one("watch_drops_total", "counter", server_->unread());
+  out += "# TYPE registry_commit_seconds histogram\n";
+  uint64_t sum = 0;
+  for (size_t i = 0; i < figures_.commit_buckets.size(); ++i) {
+    sum += figures_.commit_buckets[i];
+    char bound[24] = "+Inf";
+    if (i < kCommitBounds.size()) std::snprintf(bound, sizeof(bound), "%g", kCommitBounds[i]);
+    out += "registry_commit_seconds_bucket{le=\"" + std::string(bound) + "\"} " + std::to_string(sum) + "\n";
+  }
+  out += "registry_commit_seconds_sum " + std::to_string(figures_.commit_sum_s) +
+         "\nregistry_commit_seconds_count " + std::to_string(sum) + "\n";
+  return out;
+}
+
+void Service::handle(const HttpRequest& request, const Answer& answer) {
+  try {
+    const std::string& path = request.path;
+    if (path == "/api/targets" || path.starts_with("/api/targets/")) return targets(request, answer);
+    if (path.starts_with("/api/registrations/")) return registrations(request, answer);
+    if (path.starts_with("/registry/members/")) return members(request, answer);
+    if (path == "/registry/restore" && request.method == "POST") return restore(request, answer);
+    if (request.method != "GET") return answer->reply(failure(404, "no such call"));
+    HttpReply reply = head();
+    if (path == "/registry/status") {
+      reply.body = status().dump() + "\n";
+    } else if (path == "/registry/backup") {
+      json out = {{"format", 1}, {"identity", state_.identity()}, {"revision", state_.revision()}};
+      out["entries"] = json::array();
+      for (const auto& [id, entry] : state_.entries()) out["entries"].push_back(json_of(entry));
+      reply.body = out.dump() + "\n";
+    } else if (path == "/metrics") {
+      reply.type = "text/plain; version=0.0.4";
+      reply.body = metrics();
+    } else {
+      return answer->reply(failure(404, "no such call"));
+    }
+    answer->reply(std::move(reply));
+  } catch (const std::invalid_argument& error) {
+    ++figures_.refused;
+    answer->reply(failure(400, error.what()));
+  }
+}
+
+}  // namespace firspool::registry
--- a/registry/state.cpp
+++ b/registry/state.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <stdexcept>
 
 namespace firspool::registry {
@@ -43,14 +42,15 @@
   for (const Item& item : command.items) {
     items.push_back({item.id, pack(item.entry), item.if_match ? json(*item.if_match) : json()});
   }
-  return to_bytes({static_cast<int>(command.kind), command.now_ms, command.request, items, command.identity});
+  return to_bytes(
+      {static_cast<int>(command.kind), command.now_ms, command.request, items, command.text, command.number});
 }
 
 Command decode(const std::string& bytes) {
-  const json j = json::from_cbor(bytes);
+  const json j = json::from_cbor(bytes, false);  // a log may pad it
   Command out;
   const int kind = j.at(0);
-  if (kind < 0 || kind > static_cast<int>(Command::Kind::kFound))
+  if (kind < 0 || kind > static_cast<int>(Command::Kind::kMember))
     throw std::invalid_argument("no such command");
   out.kind = static_cast<Command::Kind>(kind);
   out.now_ms = j.at(1);
@@ -60,7 +60,8 @@
     out.items.push_back({item.at(0), unpack_some(item.at(1)),
                          match.is_null() ? std::nullopt : std::optional(match.get<Revision>())});
   }
-  out.identity = j.at(4);
+  out.text = j.at(4);
+  out.number = j.at(5);
   return out;
 }
 
@@ -89,6 +90,7 @@
     change.last = it->second;
     entries_.erase(it);
     due_.erase(id);
+    lapsed_.erase(id);
   }
   revision_ = index;
   changes_.push_back(std::move(change));
@@ -117,6 +119,7 @@
       entry.phase = "leaving";
       set(index, id, entry);
       due_[id] = now_ + limits_.leave_ms;
+      lapsed_.insert(id);
       lapses_.push_back(now_);
     }
   }
@@ -133,7 +136,8 @@
   }
 }
 
-Answer State::apply(Revision index, const Command& command) {
+Answer State::apply(uint64_t at, const Command& command) {
+  Revision index = base_ + at;
   now_ = std::max(now_, command.now_ms);  // a new leader's clock may be behind
   if (const auto before = answers_.find(command.request);
       !command.request.empty() && before != answers_.end()) {
@@ -149,7 +153,9 @@
       }
       for (const Item& item : command.items) {
         set(index, item.id, item.entry);
+        lapsed_.erase(item.id);
         due_.erase(item.id);
+        if (item.entry && item.entry->ttl_ms > 0) due_[item.id] = now_ + item.entry->ttl_ms;
       }
       answer.revision = revision_;
       break;
@@ -158,8 +164,16 @@
         answer.kind = Answer::Kind::kUnknown;
         break;
       }
-      set(index, command.items[0].id, command.items[0].entry);
-      due_[command.items[0].id] = now_ + command.items[0].entry->ttl_ms;
+      {
+        Entry entry = *command.items[0].entry;
+        const auto it = entries_.find(command.items[0].id);
+        // Drained by somebody else: it stays so until they say otherwise.
+        if (it != entries_.end() && it->second.phase == "leaving" && !lapsed_.contains(it->first))
+          entry.phase = it->second.phase;
+        set(index, command.items[0].id, entry);
+        lapsed_.erase(command.items[0].id);
+        due_[command.items[0].id] = now_ + entry.ttl_ms;
+      }
       answer.revision = revision_;
       break;
     case Command::Kind::kRenew: {
@@ -169,7 +183,7 @@
         break;
       }
       due_[it->first] = now_ + it->second.ttl_ms;
-      if (it->second.phase == "leaving") {  // it was only late
+      if (lapsed_.erase(it->first) > 0) {  // it was only late
         Entry entry = it->second;
         entry.phase = "active";
         set(index, entry.id, entry);
@@ -182,17 +196,42 @@
       answer.revision = revision_;
       break;
     case Command::Kind::kFound:
-      identity_ = command.identity;
-      revision_ = index;
-      compacted_ = index;  // nobody's watch goes on over it
-      changes_.clear();
+      if (identity_.empty()) found(at, command);
+      answer.revision = revision_;
+      break;
+    case Command::Kind::kRestore:
+      found(at, command);
       answer.revision = revision_;
       break;
+    case Command::Kind::kMember:
+      if (command.text.empty()) members_.erase(command.number);
+      if (!command.text.empty()) members_[command.number] = command.text;
+      break;
   }
   remember(command.request, answer);
   return answer;
 }
 
+// Revisions never go back, also where a list begins anew that clients knew before: they begin above what the
+// command names.
+void State::found(uint64_t at, const Command& command) {
+  base_ = std::max(base_, command.number);
+  identity_ = command.text;
+  entries_.clear();
+  due_.clear();
+  lapsed_.clear();
+  lapses_.clear();
+  answers_.clear();
+  requests_.clear();
+  for (const Item& item : command.items) {
+    set(base_ + at, item.id, item.entry);
+    if (item.entry && item.entry->ttl_ms > 0) due_[item.id] = now_ + item.entry->ttl_ms;
+  }
+  revision_ = base_ + at;
+  compacted_ = revision_;  // nobody's watch goes on over it
+  changes_.clear();
+}
+
 std::optional<std::vector<Change>> State::since(Revision revision) const {
   if (revision < compacted_ || revision > revision_) return {};
   std::vector<Change> out;
@@ -216,29 +255,32 @@
   }
   const json limits = {limits_.kept_changes,  limits_.kept_requests, limits_.leave_ms,
                        limits_.lapse_span_ms, limits_.lapse_share,   limits_.lapse_least};
-  return to_bytes({kFormat, limits, revision_, compacted_, now_, identity_, entries, due_, lapses_, held_,
-                   changes, answers});
+  return to_bytes({kFormat, limits, base_, revision_, compacted_, now_, identity_, members_, entries, due_,
+                   lapses_, held_, changes, answers, lapsed_});
 }
 
 State State::restore(const std::string& bytes) {
-  const json j = json::from_cbor(bytes);
+  const json j = json::from_cbor(bytes, false);  // a log may pad it
   if (j.at(0) != kFormat)
     throw std::invalid_argument("a snapshot of format " + j.at(0).dump() + "; this program reads " +
                                 std::to_string(kFormat));
   const json& l = j.at(1);
   State out({l.at(0), l.at(1), l.at(2), l.at(3), l.at(4), l.at(5)});
-  out.revision_ = j.at(2);
-  out.compacted_ = j.at(3);
-  out.now_ = j.at(4);
-  out.identity_ = j.at(5);
-  for (const json& entry : j.at(6)) out.entries_[entry.at(0)] = unpack(entry);
-  out.due_ = j.at(7).get<std::map<std::string, Millis>>();
-  out.lapses_ = j.at(8).get<std::deque<Millis>>();
-  out.held_ = j.at(9);
-  for (const json& c : j.at(10))
+  out.base_ = j.at(2);
+  out.revision_ = j.at(3);
+  out.compacted_ = j.at(4);
+  out.now_ = j.at(5);
+  out.identity_ = j.at(6);
+  out.members_ = j.at(7).get<std::map<uint64_t, std::string>>();
+  for (const json& entry : j.at(8)) out.entries_[entry.at(0)] = unpack(entry);
+  out.due_ = j.at(9).get<std::map<std::string, Millis>>();
+  out.lapses_ = j.at(10).get<std::deque<Millis>>();
+  out.held_ = j.at(11);
+  for (const json& c : j.at(12))
     out.changes_.push_back({c.at(0), c.at(1), unpack_some(c.at(2)), unpack(c.at(3))});
-  for (const json& a : j.at(11))
+  for (const json& a : j.at(13))
     out.remember(a.at(0), {static_cast<Answer::Kind>(a.at(1).get<int>()), a.at(2), a.at(3)});
+  out.lapsed_ = j.at(14).get<std::set<std::string>>();
   return out;
 }
 
@@ -254,9 +296,20 @@
 }
 
 json State::list() const {
-  json out = {{"revision", revision_}, {"complete", true}, {"members", json::array()}};
+  json out = {
+      {"revision", revision_}, {"complete", true}, {"identity", identity_}, {"members", json::array()}};
   for (const auto& [id, entry] : entries_) out["members"].push_back(member(entry, entry.phase));
   return out;
 }
 
+json State::line(const std::vector<Change>& changes) const {
+  json out = {
+      {"revision", revision_}, {"complete", false}, {"identity", identity_}, {"members", json::array()}};
+  for (const Change& change : changes) {
+    out["members"].push_back(change.entry ? member(*change.entry, change.entry->phase)
+                                          : member(change.last, "left"));
+  }
+  return out;
+}
+
 }  // namespace firspool::registry
--- a/registry/state.h
+++ b/registry/state.h
@@ -1,6 +1,7 @@
 // registry: the fleet's own list of endpoints. This one: its state machine, a core that every member runs
-// over the same log. No I/O, no clock, no random numbers: the revision of a change is its index in the log,
-// and all time comes with the commands, so that members agree to the byte.
+// over the same log. No I/O, no clock, no random numbers: the revision of a change is its index in the log
+// above where the list's revisions begin, and all time comes with the commands, so that members agree to the
+// byte.
 //
 // Revisions, compaction and compare-and-set as etcd has them; expiry as in its leases, with a guard of our
 // own: where too many registrations would lapse at once, the fault is taken to be ours.
@@ -11,6 +12,7 @@
 #include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,12 +54,18 @@
 };
 
 struct Command {
-  enum class Kind { kWrite, kRegister, kRenew, kTick, kFound };
+  // kFound begins the list if there is none; kRestore puts another in its place.
+  enum class Kind { kWrite, kRegister, kRenew, kTick, kFound, kRestore, kMember };
   Kind kind = Kind::kTick;
   Millis now_ms = 0;
   std::string request;      // a client's name for it; one that comes again gets the first one's answer
-  std::vector<Item> items;  // kWrite: all or none; kRegister, kRenew: one
-  std::string identity;     // kFound: the list's new name; a rebuilt or restored list has another one
+  std::vector<Item> items;  // kWrite: all or none; kRegister, kRenew: one; kRestore: the whole list
+  // kFound, kRestore: the list's name, which no other list has, and what its revisions are above.
+  // kMember: a member's HTTP address, empty where it goes, and its number.
+  // kTick: the leader's hash of its state, in hex, and the index that it was taken at; empty where there is
+  // none.
+  std::string text;
+  uint64_t number = 0;
 };
 
 // CBOR, for the log. decode throws std::exception on what is no command.
@@ -85,13 +93,16 @@
  public:
   explicit State(Limits limits = {}) : limits_(limits) {}
 
-  // In the order of the log; an index grows with each call.
-  Answer apply(Revision index, const Command& command);
+  // In the order of the log; an index grows with each call. For kConflict nothing has changed.
+  Answer apply(uint64_t index, const Command& command);
 
   Revision revision() const { return revision_; }    // of the last change
   Revision compacted() const { return compacted_; }  // changes up to it are not held any more
   const std::string& identity() const { return identity_; }
   const std::map<std::string, Entry>& entries() const { return entries_; }
+  const std::map<uint64_t, std::string>& members() const { return members_; }  // their HTTP addresses
+  Millis now() const { return now_; }
+  size_t registrations() const { return due_.size(); }
   bool held() const { return held_; }  // expiry stands still: too much would lapse at once
 
   // What changed after a revision, by revision, the newest of each id only; nothing where that has been
@@ -102,25 +113,30 @@
   static State restore(const std::string& bytes);  // throws std::exception
   uint64_t hash() const;                           // XXH3 of the snapshot
 
-  // For discovery's clients: {"revision":…,"complete":…,"members":[…]}.
+  // For discovery's clients: {"revision":…,"complete":…,"members":[…]}, and the list's identity.
   nlohmann::json list() const;
+  nlohmann::json line(const std::vector<Change>& changes) const;
   static nlohmann::json member(const Entry& entry, const std::string& phase);
 
  private:
   std::optional<Answer> refusal(const std::vector<Item>& items) const;
   void set(Revision index, const std::string& id, std::optional<Entry> entry);
   void expire(Revision index);
+  void found(uint64_t at, const Command& command);
   void remember(const std::string& request, const Answer& answer);
 
   Limits limits_;
+  Revision base_ = 0;  // revisions are so much above the log's indexes
   Revision revision_ = 0;
   Revision compacted_ = 0;
   Millis now_ = 0;
   std::string identity_;
+  std::map<uint64_t, std::string> members_;
   std::map<std::string, Entry> entries_;
   std::map<std::string, Millis>
-      due_;                    // registrations: when they lapse; of those that have: when they are gone
-  std::deque<Millis> lapses_;  // when some lapsed, within the span
+      due_;                       // registrations: when they lapse; of those that have: when they are gone
+  std::set<std::string> lapsed_;  // leaving because they were not renewed, not because somebody said so
+  std::deque<Millis> lapses_;     // when some lapsed, within the span
   bool held_ = false;
   std::deque<Change> changes_;
   std::map<std::string, Answer> answers_;
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -15,15 +15,15 @@
 }
 
 Command write(std::vector<Item> items, const std::string& request = "", Millis now = 0) {
-  return {Command::Kind::kWrite, now, request, std::move(items), ""};
+  return {Command::Kind::kWrite, now, request, std::move(items), "", 0};
 }
 Command enroll(const std::string& id, Millis ttl_ms, Millis now) {
-  return {Command::Kind::kRegister, now, "", {{id, entry(id, 1, ttl_ms), {}}}, ""};
+  return {Command::Kind::kRegister, now, "", {{id, entry(id, 1, ttl_ms), {}}}, "", 0};
 }
 Command renew(const std::string& id, Millis now) {
-  return {Command::Kind::kRenew, now, "", {{id, {}, {}}}, ""};
+  return {Command::Kind::kRenew, now, "", {{id, {}, {}}}, "", 0};
 }
-Command tick(Millis now) { return {Command::Kind::kTick, now, "", {}, ""}; }
+Command tick(Millis now) { return {Command::Kind::kTick, now, "", {}, "", 0}; }
 
 TEST(State, WritesManyInOneRevisionOrNone) {
   State s;
@@ -83,6 +83,21 @@
   EXPECT_EQ(s.apply(8, renew("a", 13'001)).kind, Answer::Kind::kUnknown);
 }
 
+TEST(State, KeepsADrainThatAnotherSaidWhileTheEndpointRenews) {
+  State s;
+  s.apply(1, enroll("a", 1000, 0));
+  Entry drained = entry("a", 1, 1000);
+  drained.phase = "leaving";
+  s.apply(2, write({{"a", drained, {}}}));
+  s.apply(3, renew("a", 900));
+  s.apply(4, enroll("a", 1000, 1000));
+  EXPECT_EQ(s.entries().at("a").phase, "leaving");
+  s.apply(5, tick(1900));
+  EXPECT_EQ(s.entries().size(), 1U);
+  s.apply(6, tick(2000));
+  EXPECT_TRUE(s.entries().empty());
+}
+
 // Endpoints that stop renewing all at once were cut off from us: nothing expires in bulk.
 TEST(State, HoldsExpiryWhereTooManyWouldLapse) {
   State s;
@@ -107,13 +122,29 @@
   EXPECT_EQ(s.entries().at("a").phase, "active");
 }
 
-TEST(State, HasAnotherNameOnceRebuilt) {
+TEST(State, HasAnotherNameOnceRestoredAndRevisionsThatNeverGoBack) {
   State s;
-  s.apply(1, write({{"a", entry("a"), {}}}));
-  s.apply(2, {Command::Kind::kFound, 0, "", {}, "list-2"});
+  s.apply(1, {Command::Kind::kFound, 0, "", {}, "list-1", 1000});
+  s.apply(2, write({{"a", entry("a"), {}}}));
+  EXPECT_EQ(s.revision(), 1002U);
+  s.apply(3, {Command::Kind::kFound, 0, "", {}, "list-x", 5000});  // there is one
+  EXPECT_EQ(s.identity(), "list-1");
+  s.apply(4, {Command::Kind::kRestore, 0, "", {{"b", entry("b", 1, 500), {}}}, "list-2", 900});
   EXPECT_EQ(s.identity(), "list-2");
-  EXPECT_FALSE(s.since(1));  // its watches take the next list whole
-  EXPECT_TRUE(s.since(2));
+  EXPECT_EQ(s.revision(), 1004U);
+  EXPECT_FALSE(s.since(1002));  // its watches take the next list whole
+  EXPECT_TRUE(s.since(1004));
+  EXPECT_FALSE(s.entries().contains("a"));
+  s.apply(5, tick(501));
+  EXPECT_EQ(s.entries().at("b").phase, "leaving");
+}
+
+TEST(State, KnowsItsMembersAddresses) {
+  State s;
+  s.apply(1, {Command::Kind::kMember, 0, "", {}, "127.0.0.1:7000", 3});
+  EXPECT_EQ(State::restore(s.snapshot()).members().at(3), "127.0.0.1:7000");
+  s.apply(2, {Command::Kind::kMember, 0, "", {}, "", 3});
+  EXPECT_TRUE(s.members().empty());
 }
 
 // Members that apply the same log agree to the byte, also one that began from a snapshot in the middle of it.
