Relay: follow the registry instead of discovery where `fleet` says so

Need: one discovery service that is overbooked leaves relays with old lists; the registry's members are several, and a relay must outlast any of them and its own restart, and not be emptied by a registry's fault.

Lists that would take over three tenths away, empty ones and those of another identity wait for a second member or hold_ms; drains do not. Back without `fleet`, discovery's lower revisions are taken. Figures proxy_list_age_seconds, _held, _holds_total and proxy_registry_moves_total, only then. Without `fleet` nothing changes: a test compares the bytes to discovery and the figures. Not taken: registry and discovery followed at once (two sources that disagree about revisions).

--- a/registry/follow.cpp
+++ b/registry/follow.cpp
@@ -69,10 +69,17 @@
   connect_later();
 }
 
+Millis Follower::heard_ms() const { return heard_ < 0 ? -1 : now_ms() - heard_; }
+
+void Follower::current() {
+  backoff_.reset();
+  heard_ = now_ms();
+  listener_.current();
+}
+
 bool Follower::line(const std::string& text) {
   if (text.find_first_not_of(" \r\t") == std::string::npos) {
-    backoff_.reset();
-    if (!guard_.holds()) listener_.current();
+    if (!guard_.holds()) current();
     return true;
   }
   Millis late = 0;
@@ -89,8 +96,7 @@
     return settings_.members.size() < 2 || guard_.holder() != net::text_of(at());  // what does another say?
   }
   if (late < 0 || late > settings_.late_ms) return settings_.members.size() < 2;
-  backoff_.reset();
-  listener_.current();
+  current();
   return true;
 }
 
--- a/registry/follow.h
+++ b/registry/follow.h
@@ -39,6 +39,7 @@
   void close();  // for good
   const ListGuard& guard() const { return guard_; }
   uint64_t moves() const { return moves_; }  // to another member
+  Millis heard_ms() const;  // since a member that is not late last said that this is its list; -1: not yet
   const net::tcp::endpoint& at() const { return settings_.members[at_]; }
 
  private:
@@ -46,6 +47,7 @@
   void connect_later();
   void ended(const net::Lines* stream);
   bool line(const std::string& text);
+  void current();
   void heed(const std::vector<nlohmann::json>& lines);
   void tick();
 
@@ -58,6 +60,7 @@
   boost::asio::steady_timer tick_;
   std::shared_ptr<net::Lines> stream_;
   size_t at_ = 0;
+  Millis heard_ = -1;
   uint64_t moves_ = 0;
 };
 
--- a/registry/guard.cpp
+++ b/registry/guard.cpp
@@ -40,7 +40,8 @@
 
 bool ListGuard::suspicious(const Members& members, const std::string& identity) const {
   if (known_.empty()) return false;
-  if (identity != identity_ || members.empty()) return true;
+  const bool renamed = !identity_.empty() && identity != identity_;
+  if (renamed || members.empty()) return true;
   const auto removed = static_cast<size_t>(std::count_if(
       known_.begin(), known_.end(), [&](const auto& one) { return !members.contains(one.first); }));
   return removed > std::max(limits_.removed_always,
--- a/registry/guard.h
+++ b/registry/guard.h
@@ -40,6 +40,7 @@
   uint64_t held_total() const { return held_total_; }
 
   // To keep on disk. restore() throws std::exception on what is none; it is told as a list like any other.
+  // With an empty identity it may be of any list.
   nlohmann::json save() const;
   nlohmann::json restore(const nlohmann::json& saved);
 
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -74,6 +74,28 @@
   return out;
 }
 
+// "fleet": {"registry": ["127.0.0.1:7101", …], "hold_ms": 30000, "most_removed": 0.3}; off without it.
+std::optional<registry::FollowSettings> read_fleet(const json& root, const Config& config) {
+  const auto it = root.find("fleet");
+  if (it == root.end()) return {};
+  registry::FollowSettings out;
+  for (const auto& [key, value] : it->items()) {
+    if (key != "registry" && key != "hold_ms" && key != "most_removed")
+      throw std::invalid_argument("fleet." + key + " is not known");
+  }
+  for (const std::string& one : it->at("registry").get<std::vector<std::string>>())
+    out.members.push_back(parse_address(one));
+  if (out.members.empty()) throw std::invalid_argument("fleet.registry names no address");
+  out.guard.hold_ms = it->value("hold_ms", out.guard.hold_ms);
+  out.guard.most_removed = it->value("most_removed", out.guard.most_removed);
+  if (out.guard.hold_ms < 0) throw std::invalid_argument("fleet.hold_ms is under 0");
+  if (!(out.guard.most_removed >= 0 && out.guard.most_removed <= 1))
+    throw std::invalid_argument("fleet.most_removed is not 0 to 1");
+  out.callers = config.settings.relays;
+  out.seed = config.seed;
+  return out;
+}
+
 Config parse_config(const std::string& text, const std::string& state) {
   const json root = json::parse(text);
   Config out;
@@ -103,6 +125,7 @@
   const json report = settings.value("telemetry", json::object());
   out.report_fields = report.value("fields", std::vector<std::string>{});
   out.known = parse_list(root.at("known"), out.names);
+  out.fleet = read_fleet(root, out);
   return out;
 }
 
--- a/relay/config.h
+++ b/relay/config.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "directory.h"
+#include "registry/follow.h"
 
 namespace firspool::relay {
 
@@ -15,8 +16,9 @@
   std::string name;
   tcp::endpoint listen;
   tcp::endpoint discovery;
-  std::optional<tcp::endpoint> control;  // the operators' address
-  std::string state;                     // the folder that lasts
+  std::optional<tcp::endpoint> control;           // the operators' address
+  std::optional<registry::FollowSettings> fleet;  // the registry that is followed in place of discovery
+  std::string state;                              // the folder that lasts
   uint64_t seed = 0;
   size_t sockets = 1024;
   size_t disk_bytes = 0;
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -61,6 +61,7 @@
   void resume(const std::string& id) { suspended_.erase(id); }
   bool suspended(const std::string& id) const { return suspended_.contains(id); }
   int64_t revision() const { return revision_; }
+  void renamed() { revision_ = -1; }  // another list from now on: its revisions are not the old one's
   const std::map<Endpoint, ListedHost>& hosts() const { return hosts_; }
   const std::set<int>& destinations() const { return destinations_; }
 
--- a/relay/figures.cpp
+++ b/relay/figures.cpp
@@ -42,6 +42,13 @@
   one("targets_disabled", "gauge", targets_disabled);
   one("reload_success_total", "counter", reload_success);
   one("reload_failure_total", "counter", reload_failure);
+  if (registry) {
+    type(out, "list_age_seconds", "gauge");
+    out += "proxy_list_age_seconds " + std::to_string(registry->age_s) + "\n";
+    one("list_held", "gauge", registry->held ? 1 : 0);
+    one("list_holds_total", "counter", registry->holds);
+    one("registry_moves_total", "counter", registry->moves);
+  }
   return out;
 }
 
--- a/relay/figures.h
+++ b/relay/figures.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace firspool::relay {
@@ -14,6 +15,14 @@
   uint64_t error = 0;     // failed
 };
 
+// Only where a registry is followed.
+struct RegistryFigures {
+  double age_s = 0;    // since a member last said that the list is its newest; under 0: not yet
+  bool held = false;   // a list waits to be confirmed
+  uint64_t holds = 0;  // how often one did
+  uint64_t moves = 0;  // to another member
+};
+
 struct Figures {
   std::map<std::string, ClassFigures> classes;
   uint64_t dispatches = 0;  // messages written whole to endpoints
@@ -22,6 +31,7 @@
   size_t concurrent = 0;        // messages taken but not ended
   size_t targets = 0;           // endpoints listed
   size_t targets_disabled = 0;  // and of these avoided now
+  std::optional<RegistryFigures> registry;
 
   std::string text() const;
 };
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -17,6 +17,7 @@
 const std::string kSuspended = "suspended ";
 const std::string kClass = "class ";  // one that the settings name no more
 const std::string kRevision = "revision";
+const std::string kIdentity = "identity";
 const std::string kDestinations = "destinations";
 
 const std::string kRefused = "-BUSY";
@@ -122,15 +123,18 @@
             happened(end);
             back(end.endpoint);
           }),
-      watch_(
-          io, config.discovery, config.names,
-          [this, known = config.known.revision] { return std::max(known, directory_.revision()); },
-          [this](const HostList& list) { told(list); }, [this] { open(); },
-          Backoff(config.settings.relays, config.seed)),
       listening_(std::move(listening)),
       open_timer_(io) {
+  if (!config.fleet) {
+    watch_.emplace(
+        io, config.discovery, config.names,
+        [this, known = config.known.revision] { return std::max(known, directory_.revision()); },
+        [this](const HostList& list) { told(list); }, [this] { open(); },
+        Backoff(config.settings.relays, config.seed));
+  }
   recall();
   told(config_.known);
+  if (config.fleet) follow();
   if (handover_.taken_over()) take_over();
   handover_.offer([this] { hand_over(); });
   // The process before has listened to discovery up to now, and clients wait.
@@ -153,6 +157,7 @@
   for (const auto& [name, value] : facts) {
     const nlohmann::json fact = nlohmann::json::parse(value);
     if (name == kRevision) list.revision = fact.get<int64_t>();
+    if (name == kIdentity) identity_ = fact.get<std::string>();
     if (name.starts_with(kGone)) directory_.add_gone(name.substr(kGone.size()), fact.get<Time>());
     if (name == kDestinations) {
       for (const int destination : fact.get<std::vector<int>>()) directory_.add_destination(destination);
@@ -168,6 +173,12 @@
            handover_.taken_over() ? steady(fact.value("wait_until", Time{0})) : 0});  // a restart ends a wait
     }
   }
+  const bool registrys = !identity_.empty();
+  if (registrys != config_.fleet.has_value()) {  // the other one's list, whose revisions say nothing here
+    list.revision = 0;
+    identity_.clear();
+    journal_.remember(kIdentity, "");
+  }
   list.hosts =
       parse_list({{"revision", list.revision}, {"complete", true}, {"members", members}}, config_.names)
           .hosts;
@@ -175,6 +186,35 @@
   for (const DestinationMemory& memory : memories) happened(memory);
 }
 
+// What is known so far is what the guard begins from.
+void Relay::follow() {
+  nlohmann::json members = nlohmann::json::array();
+  for (const auto& [handle, host] : directory_.hosts()) {
+    if (host.member.listing != Listing::kGone) members.push_back(nlohmann::json::parse(host.text));
+  }
+  registry::Follower::Listener listener;
+  listener.told = [this](const nlohmann::json& line) { told_by_registry(line); };
+  listener.current = [this] { open(); };
+  fleet_.emplace(io_, *config_.fleet,
+                 nlohmann::json{{"revision", identity_.empty() ? -1 : directory_.revision()},
+                                {"complete", true},
+                                {"identity", identity_},
+                                {"members", std::move(members)}},
+                 std::move(listener));
+}
+
+void Relay::told_by_registry(const nlohmann::json& line) {
+  const HostList list = parse_list(line, config_.names);
+  const std::string identity = line.value("identity", "");
+  if (identity != identity_) {
+    net::log::info("registry", "identity", identity, "revision", list.revision);
+    identity_ = identity;
+    journal_.remember(kIdentity, nlohmann::json(identity).dump());
+    directory_.renamed();
+  }
+  told(list);
+}
+
 // What is held of it keeps its rules; nobody hands in more. The next reload forgets it.
 void Relay::recall_class(const std::string& name, const std::string& text) {
   if (class_of(name) >= 0) return;
@@ -238,6 +278,10 @@
     return host.second.member.listing != Listing::kGone;
   }));
   out.targets_disabled = policy_.avoided(steady_now());
+  if (fleet_) {
+    out.registry = RegistryFigures{static_cast<double>(fleet_->heard_ms()) / 1000, fleet_->guard().holds(),
+                                   fleet_->guard().held_total(), fleet_->moves()};
+  }
   return out;
 }
 
@@ -437,7 +481,8 @@
     const auto number = numbers_.find(parcel->text);
     if (number != numbers_.end()) upstream_.cancel(number->second, held_.at(number->second).attempts - 1);
   });
-  watch_.close();
+  if (watch_) watch_->close();
+  if (fleet_) fleet_->close();
   notices_.close();
   upstream_.close_idle();
   wait_for_end();
@@ -583,10 +628,10 @@
   happened(SettingsChanged{std::make_shared<const Settings>(next.settings)});
   upstream_.set(upstream_limits(config_), config_.report_fields);
   if (renamed) {
-    watch_.rename(config_.names);
+    if (watch_) watch_->rename(config_.names);
     told(directory_.read_again(config_.names));
   }
-  watch_.move(config_.discovery);
+  if (watch_) watch_->move(config_.discovery);
   notices_.move(config_.discovery);
 }
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -68,6 +68,8 @@
   OperatorReply suspend(const std::string& id, bool out);
   OperatorReply operate(const OperatorCall& call);
   void recall();
+  void follow();
+  void told_by_registry(const nlohmann::json& line);
   void recall_class(const std::string& name, const std::string& text);
   void open();
   void resume();
@@ -127,7 +129,9 @@
   bool closed_ = false;      // clients were let go
   Notices notices_;
   Upstream upstream_;
-  Watch watch_;
+  std::optional<Watch> watch_;               // on discovery; or
+  std::optional<registry::Follower> fleet_;  // on the registry
+  std::string identity_;                     // of the registry's list; empty: the list is discovery's
   std::function<void(const tcp::endpoint&)> listening_;
   boost::asio::steady_timer open_timer_;
   std::optional<Clients> clients_;  // once what was taken on before is resumed
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -517,5 +517,146 @@
   EXPECT_EQ(client.line(), "+PONG");
 }
 
+// A list as the registry tells it.
+nlohmann::json registry_list(int revision, bool complete, std::vector<nlohmann::json> members,
+                             const std::string& identity = "one") {
+  nlohmann::json out = list_json(revision, complete, std::move(members));
+  out["identity"] = identity;
+  return out;
+}
+
+std::string figure(const Program& program, const std::string& name) {
+  const std::string text = program.operate("GET", "/v1/metrics").second;
+  const size_t at = text.find("\n" + name + " ");
+  return at == std::string::npos
+             ? ""
+             : text.substr(at + name.size() + 2, text.find('\n', at + 1) - at - name.size() - 2);
+}
+
+void await_figure(const Program& program, const std::string& name, const std::string& value) {
+  const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(kDeadlineMs);
+  while (figure(program, name) != value && std::chrono::steady_clock::now() < until)
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  EXPECT_EQ(figure(program, name), value) << name;
+}
+
+struct FleetStage : Stage {
+  Discovery members[2];
+
+  explicit FleetStage(int hold_ms) {
+    config["control"] = "127.0.0.1:0";
+    config["known"] = list_json(1, true, hosts(5));
+    config["fleet"] = {{"registry", {members[0].address(), members[1].address()}}, {"hold_ms", hold_ms}};
+    program.configure(config.dump());
+  }
+  void tell(const nlohmann::json& list) {
+    for (Discovery& member : members) member.tell(list);
+  }
+  std::vector<nlohmann::json> hosts(int n) {
+    std::vector<nlohmann::json> out;
+    for (int i = 0; i < n; ++i) out.push_back(member_json("r-" + std::to_string(i), host.address(), 40 + i));
+    return out;
+  }
+};
+
+TEST(Fleet, FollowsAnyMemberOfTheRegistryAndKeepsItsListOverARestart) {
+  FleetStage s(60'000);
+  s.members[0].mute();  // silent with its connections open: the other one it is, sooner or later
+  s.members[1].tell(registry_list(100, true, s.hosts(5)));
+  s.program.start();
+  EXPECT_TRUE(s.program.logged("registry"));
+  await_figure(s.program, "proxy_targets", "5");
+  s.members[1].mute();
+  s.restart_killed();
+  EXPECT_EQ(s.put("00000000000000b2", facts("keyed", 42)), "+OK");  // as it was known before
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000b2");
+  EXPECT_EQ(figure(s.program, "proxy_list_age_seconds").front(), '-');
+}
+
+TEST(Fleet, HeedsADrainAtOnceAndHoldsAListThatTakesMostAway) {
+  FleetStage s(60'000);
+  s.members[1].mute();  // nobody confirms
+  s.members[0].tell(registry_list(100, true, s.hosts(5)));
+  s.program.start();
+  EXPECT_TRUE(s.program.logged("registry"));
+  await_figure(s.program, "proxy_targets", "5");
+  std::vector<nlohmann::json> few = s.hosts(1);
+  few[0]["phase"] = "leaving";
+  s.members[0].tell(registry_list(101, true, few));
+  await_figure(s.program, "proxy_list_holds_total", "1");
+  EXPECT_EQ(figure(s.program, "proxy_list_held"), "1");
+  EXPECT_EQ(figure(s.program, "proxy_targets"), "5");
+  // Its one host is told to drain: what comes for it is held, not sent; the others' goes out.
+  EXPECT_EQ(s.put("00000000000000a1", facts("keyed", 40)), "+OK");
+  EXPECT_EQ(s.put("00000000000000a2", facts("keyed", 41)), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
+}
+
+TEST(Fleet, TakesAHeldListOnceASecondMemberSaysTheSame) {
+  FleetStage s(60'000);
+  s.tell(registry_list(100, true, s.hosts(5)));
+  s.program.start();
+  EXPECT_TRUE(s.program.logged("registry"));
+  await_figure(s.program, "proxy_targets", "5");
+  s.program.kill();
+  Discovery restored[2];
+  for (Discovery& member : restored) member.tell(registry_list(200, true, s.hosts(2), "two"));
+  s.config["fleet"]["registry"] = {restored[0].address(), restored[1].address()};
+  s.program.configure(s.config.dump());
+  s.program.start();
+  await_figure(s.program, "proxy_targets", "2");
+  EXPECT_EQ(figure(s.program, "proxy_list_holds_total"), "1");
+}
+
+TEST(Fleet, HoldsAnEmptyListAlsoAtTheFirstStart) {
+  FleetStage s(60'000);
+  s.members[1].mute();
+  s.members[0].tell(registry_list(100, true, {}));
+  s.program.start();
+  await_figure(s.program, "proxy_list_held", "1");
+  EXPECT_EQ(s.put("00000000000000a1", facts("keyed", 40)),
+            "+OK");  // to the host that the configuration names
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a1");
+}
+
+// Back to the platform's discovery, whose revisions are lower: its list is taken all the same.
+TEST(Fleet, GoesBackToDiscovery) {
+  FleetStage s(60'000);
+  s.tell(registry_list(1000, true, s.hosts(5)));
+  s.program.start();
+  EXPECT_TRUE(s.program.logged("registry"));
+  await_figure(s.program, "proxy_targets", "5");
+  s.program.kill();
+  s.config.erase("fleet");
+  s.program.configure(s.config.dump());
+  s.discovery.tell(list_json(7, true, {member_json("s-1", s.host.address(), 7)}));
+  s.program.start();
+  await_figure(s.program, "proxy_targets", "1");
+}
+
+// Without `fleet` it is the relay that it was: the same bytes to discovery, no figure more.
+TEST(Fleet, IsNotThereWithoutItsSettings) {
+  Socket discovery = Socket::listen();
+  Host host;
+  nlohmann::json config =
+      config_json("127.0.0.1:" + std::to_string(discovery.port()), {member_json("s-1", host.address(), 7)});
+  config["control"] = "127.0.0.1:0";
+  Program program(config);
+  program.start();
+  Socket watch = discovery.accept();
+  const std::string expected = "GET /api/targets?stream=1&index=1 HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n";
+  EXPECT_EQ(watch.exactly(expected.size()), expected);
+  watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+  Socket client = program.client();
+  client.send(put_bytes("9b1f03aa5c7e2d41", kFacts));
+  EXPECT_EQ(client.line(), "+OK");
+  host.next();
+  const std::string figures = program.operate("GET", "/v1/metrics").second;
+  EXPECT_EQ(figures.find("registry"), std::string::npos);
+  EXPECT_EQ(figures.find("proxy_list"), std::string::npos);
+  program.kill();
+  EXPECT_EQ(watch.line(), "");  // not a byte more
+}
+
 }  // namespace
 }  // namespace firspool::testing
