Look for a line's end once: a list of 10,000 endpoints reached no watch

At fault: net/lines looked for the line's end from the beginning after each piece that came, quadratic in the list's length; relays had the same code for discovery's list.

Change: it looks on from where the last look ended. Further tests: one member's answers, compaction and a watch from its future, its state after a restart, and a member whose hash is not the leader's.

--- a/net/lines.cpp
+++ b/net/lines.cpp
@@ -54,12 +54,15 @@
     self->lines_ += body;
     body.clear();
     size_t end = 0;
-    while ((end = self->lines_.find('\n')) != std::string::npos) {
+    // From where the last look ended: a list of thousands of endpoints comes in many pieces.
+    while ((end = self->lines_.find('\n', std::exchange(self->looked_, self->lines_.size()))) !=
+           std::string::npos) {
       self->heard();
       const bool readable = self->line_(self->lines_.substr(0, end));
       if (!self->ended_) return;
       if (!readable) return self->end();
       self->lines_.erase(0, end + 1);
+      self->looked_ = 0;
     }
     if (error || self->parser_.is_done() || self->lines_.size() > kMostLine) return self->end();
     self->read();
--- a/net/lines.h
+++ b/net/lines.h
@@ -42,6 +42,7 @@
   boost::beast::flat_buffer buffer_;
   boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
   std::string lines_;
+  size_t looked_ = 0;  // so much of them has no line's end
 };
 
 }  // namespace firspool::net
--- a/registry/replica.cpp
+++ b/registry/replica.cpp
@@ -427,7 +427,7 @@
 void Replica::Loop::Log::carry_out(Task& task) {
   switch (task.kind) {
     case Task::Kind::kPropose: {
-      if (task.command.kind == Command::Kind::kTick && !hashes_.empty()) {
+      if (task.command.kind == Command::Kind::kTick && task.command.text.empty() && !hashes_.empty()) {
         task.command.number = hashes_.rbegin()->first;
         task.command.text = net::hex(hashes_.rbegin()->second);
       }
--- a/tests/registry_play_test.cpp
+++ b/tests/registry_play_test.cpp
@@ -5,14 +5,19 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
 #include <filesystem>
 #include <nlohmann/json.hpp>
 
 #include "lab/linear.h"
 #include "lab/report.h"
+#include "net/lines.h"
 #include "net/random.h"
 #include "registry/config.h"
 #include "registry/guard.h"
+#include "registry/replica.h"
+#include "registry/service.h"
 
 namespace firspool {
 namespace {
@@ -189,6 +194,179 @@
   EXPECT_NE(refused("").find("members: is missing"), std::string::npos);
 }
 
+// One member in the test's own process, and what its calls answer.
+class OneMember : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    folder_ = ::testing::TempDir() + "registry-one-XXXXXX";
+    ASSERT_NE(::mkdtemp(folder_.data()), nullptr);
+    const std::string host = "127.0." + std::to_string(::getpid() % 250 + 1) + ".9";
+    http_ = net::parse_address(host + ":7101");
+    config_ = registry::read_config_text("f", "folder = \"" + folder_ +
+                                                  "\"\nfree_mb = 0\n[[members]]\nmember = 1\nraft = \"" +
+                                                  host + ":7201\"\nhttp = \"" + host + ":7101\"\n");
+    service_ =
+        std::make_unique<registry::Service>(io_, config_, [](const std::string& why) { FAIL() << why; });
+    until([this] { return !service_->state().identity().empty(); });
+  }
+  void TearDown() override {
+    service_.reset();
+    fs::remove_all(folder_);
+  }
+
+  void until(const std::function<bool()>& ready) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (!ready()) {
+      ASSERT_LT(std::chrono::steady_clock::now(), end);
+      io_.run_for(std::chrono::milliseconds(5));
+    }
+  }
+  std::pair<int, json> call(const std::string& method, const std::string& target, const json& body = nullptr,
+                            std::map<std::string, std::string> fields = {}) {
+    std::optional<net::HttpReply> reply;
+    bool done = false;
+    net::http_call(
+        io_, http_,
+        {method, target, std::move(fields), body.is_null() ? "" : body.dump(), std::chrono::seconds(20)},
+        [&](std::optional<net::HttpReply> got) {
+          reply = std::move(got);
+          done = true;
+        });
+    until([&] { return done; });
+    if (!reply) return {0, json()};
+    return {reply->status, json::parse(reply->body, nullptr, false)};
+  }
+  // The first lines of a watch, as many as come within a while; empty ones are left out.
+  std::vector<json> watch(const std::string& query, int wait_ms) {
+    std::vector<json> out;
+    const auto lines = std::make_shared<net::Lines>(
+        io_, http_, std::chrono::seconds(20),
+        [&](const std::string& line) {
+          if (!line.empty()) out.push_back(json::parse(line));
+          return true;
+        },
+        [] {});
+    lines->start("/api/targets?stream=1" + query);
+    io_.run_for(std::chrono::milliseconds(wait_ms));
+    lines->close();
+    return out;
+  }
+
+  std::string folder_;
+  net::tcp::endpoint http_;
+  boost::asio::io_context io_;
+  registry::Config config_;
+  std::unique_ptr<registry::Service> service_;
+};
+
+const json kEntry = {{"host_port", "127.0.0.1:80"}, {"cell", 1}};
+
+TEST_F(OneMember, AnswersWritesByTheirConditions) {
+  EXPECT_EQ(call("PUT", "/api/targets/a", kEntry, {{"If-None-Match", "*"}}).first, 200);
+  EXPECT_EQ(call("PUT", "/api/targets/a", kEntry, {{"If-None-Match", "*"}}).first, 412);
+  const auto [status, entry] = call("GET", "/api/targets/a");
+  EXPECT_EQ(status, 200);
+  EXPECT_EQ(call("DELETE", "/api/targets/a", nullptr,
+                 {{"If-Match", entry["revision"].dump()}, {"Idempotency-Key", "x"}})
+                .first,
+            200);
+  EXPECT_EQ(call("GET", "/api/targets/a").first, 404);
+  EXPECT_EQ(call("PUT", "/api/targets/a", kEntry).first, 200);
+  EXPECT_EQ(call("DELETE", "/api/targets/a", nullptr, {{"If-Match", "1"}, {"Idempotency-Key", "x"}}).first,
+            200);  // as before
+  EXPECT_EQ(call("GET", "/api/targets/a").first, 200);
+  EXPECT_EQ(call("PUT", "/api/targets/a", {{"host_port", "nowhere"}}).first, 400);
+  EXPECT_EQ(call("PUT", "/api/targets/a", {{"host_port", "127.0.0.1:80"}, {"sell", 1}}).second["error"],
+            "'sell' is no field of an entry");
+  EXPECT_EQ(call("PUT", "/api/targets/a", kEntry, {{"If-Match", "W/1"}}).first, 400);
+  EXPECT_EQ(call("POST", "/api/registrations/z").first, 404);
+  EXPECT_EQ(call("PUT", "/registry/members/7", {{"raft", "127.0.0.1:1"}, {"http", "127.0.0.1:2"}}).first,
+            404);
+  EXPECT_EQ(call("DELETE", "/registry/members/1").first, 409);  // the last one
+  EXPECT_EQ(call("GET", "/api/nothing").first, 404);
+}
+
+TEST_F(OneMember, GivesTheWholeListWhereAWatchsRevisionIsCompacted) {
+  const auto fill = [&](int from, int count) {
+    json items = json::array();
+    for (int i = from; i < from + count; ++i)
+      items.push_back({{"id", "e" + std::to_string(i)}, {"entry", kEntry}});
+    const auto [status, answer] = call("POST", "/api/targets", {{"items", items}});
+    EXPECT_EQ(status, 200);
+    return answer["revision"].get<int64_t>();
+  };
+  const int64_t first = fill(0, 10);
+  const int64_t second = fill(10, 6000);
+  const auto from_first = watch("&index=" + std::to_string(first), 1500);
+  ASSERT_EQ(from_first.size(), 1U);
+  EXPECT_FALSE(from_first[0]["complete"].get<bool>());
+  EXPECT_EQ(from_first[0]["members"].size(), 6000U);
+  const int64_t third = fill(6010, 6000);
+  const auto whole = watch("&index=" + std::to_string(first), 2500);
+  ASSERT_EQ(whole.size(), 1U);
+  EXPECT_TRUE(whole[0]["complete"].get<bool>());
+  EXPECT_EQ(whole[0]["members"].size(), 12010U);
+  EXPECT_FALSE(watch("&index=" + std::to_string(second), 1500).at(0)["complete"].get<bool>());
+  // Of another list, or of none that it knows.
+  EXPECT_TRUE(watch("&identity=other&index=" + std::to_string(third), 2500).at(0)["complete"].get<bool>());
+  // Of its own future: nothing is told that would go back.
+  EXPECT_TRUE(watch("&index=" + std::to_string(third + 5), 1500).empty());
+}
+
+TEST_F(OneMember, IsTheSameAfterItsEnd) {
+  EXPECT_EQ(call("PUT", "/api/targets/a", kEntry).first, 200);
+  const std::string before = call("GET", "/api/targets").second.dump();
+  service_.reset();
+  service_ = std::make_unique<registry::Service>(io_, config_, [](const std::string& why) { FAIL() << why; });
+  until([this] { return service_->state().entries().contains("a"); });
+  EXPECT_EQ(call("GET", "/api/targets").second.dump(), before);
+}
+
+// A member whose state is not what the leader says it must be says so.
+TEST(Replica, TellsWhenItsStateIsNotTheLeaders) {
+  std::string folder = ::testing::TempDir() + "registry-replica-XXXXXX";
+  ASSERT_NE(::mkdtemp(folder.data()), nullptr);
+  boost::asio::io_context io;
+  const auto work = boost::asio::make_work_guard(io);
+  registry::ReplicaSettings settings;
+  settings.id = 1;
+  settings.address = "127.0." + std::to_string(::getpid() % 250 + 1) + ".8:7201";
+  settings.folder = folder;
+  settings.found = {{1, settings.address}};
+  settings.check_every = 4;
+  std::string diverged;
+  uint64_t index = 0;
+  registry::Standing standing;
+  registry::Replica::Listener listener;
+  listener.applied = [&](uint64_t at, const registry::Command&, const registry::Answer&) {
+    EXPECT_GT(at, index);
+    index = at;
+  };
+  listener.restored = [](uint64_t, const registry::State&) {};
+  listener.standing = [&](const registry::Standing& now) { standing = now; };
+  listener.trouble = [](const std::string& why) { FAIL() << why; };
+  listener.diverged = [&](const std::string& what) { diverged = what; };
+  {
+    registry::Replica replica(io, settings, listener);
+    const auto until = [&](const std::function<bool()>& ready) {
+      const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+      while (!ready() && std::chrono::steady_clock::now() < end) io.run_for(std::chrono::milliseconds(5));
+      ASSERT_TRUE(ready());
+    };
+    until([&] { return standing.role == registry::Standing::Role::kLeader; });
+    registry::Command tick{registry::Command::Kind::kTick, 1, "", {}, "", 0};
+    for (int i = 0; i < 9; ++i) replica.propose(tick, [](const registry::Result&) {});  // with its own hashes
+    until([&] { return index >= 9; });
+    EXPECT_EQ(diverged, "");
+    tick.number = 8;
+    tick.text = "0123456789abcdef";
+    replica.propose(tick, [](const registry::Result&) {});
+    until([&] { return !diverged.empty(); });
+    EXPECT_NE(diverged.find("the state at entry 8"), std::string::npos) << diverged;
+  }
+  fs::remove_all(folder);
+}
+
 // A play of real processes; all that must hold holds, and the faults took place.
 class Plays : public ::testing::Test {
  protected:
