--- a/registry/replica.h
+++ b/registry/replica.h
@@ -78,7 +78,7 @@
   };
   using Done = std::function<void(const Result&)>;
 
-  // Starts the thread. `index`: what the caller has heard of before.
+  // Starts the thread.
   Replica(boost::asio::io_context& io, ReplicaSettings settings, Listener listener);
   ~Replica();  // closes the log and waits for that; nothing is called any more
 
