--- /dev/null
+++ b/lease/holder.h
@@ -0,0 +1,114 @@
+// lease: the side of a process that wants a lease and holds it. This one: its core, without I/O, clock or
+// thread; a shell (lease/shell.h) carries out what it asks for.
+//
+// What it rests on: the registry lets a grant stand for its TTL from when a renewal was applied, which is
+// after it was sent; so a holder that counts its time from the sending, by a clock that is at most `drift`
+// faster or slower than true time, and stops a margin before the end, has stopped before the registry gives
+// the lease to another (docs/leases.md). A process that was stopped asks `held()` before each act, with the
+// time of that moment; what still comes late is refused by the token.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "net/random.h"
+
+namespace firspool::lease {
+
+using Token = uint64_t;  // 0: none
+using Time = int64_t;    // microseconds of a clock that never goes back
+
+struct HolderSettings {
+  std::string name;    // of the lease
+  std::string holder;  // of this process, new with each start
+  Time ttl = 3'000'000;
+  double margin = 0.25;   // of the TTL: a holder stops that long before its end. Over 2 x drift / (1 + drift)
+                          // of both clocks
+  int renewals = 4;       // within a TTL less the margin
+  Time answer = 500'000;  // an answer that takes longer is lost; asked again
+  Time first_pause =
+      50'000;  // before asking again after a failure or a lost lease, doubled up to `most_pause`,
+  Time most_pause = 2'000'000;  // with full jitter
+  uint64_t seed = 0;
+};
+
+// What to send. `number` names the call: an answer says which it is for.
+struct Ask {
+  enum class Kind { kCampaign, kRenew, kRelease };
+  Kind kind = Kind::kCampaign;
+  uint64_t number = 0;
+  Token token = 0;
+};
+// From here on acts may begin, with this token; `record` is what the holders before have left.
+struct Begin {
+  Token token = 0;
+  std::string record;
+};
+// Nothing may begin any more; what is out should be cut short. `why`: "margin", "fenced", "released",
+// "closed".
+struct Stop {
+  Token token = 0;
+  std::string why;
+};
+using Action = std::variant<Ask, Begin, Stop>;
+
+struct Reply {
+  enum class Kind {
+    kHeld,
+    kWaits,
+    kFenced,
+    kRefused,
+    kFailed
+  };  // kFailed: no answer, or none that says which
+  Kind kind = Kind::kFailed;
+  Token token = 0;
+  bool asked_back = false;
+  std::string record;
+  Time wait = 0;  // kRefused: not before that
+};
+
+class Holder {
+ public:
+  explicit Holder(HolderSettings settings);
+
+  // Events. Each returns what to do, in order. Times never go back.
+  std::vector<Action> start(Time now);  // campaign from now on
+  std::vector<Action> answered(Time now, uint64_t number,
+                               const Reply&);  // late, doubled and unknown ones as well
+  std::vector<Action> tick(Time now);
+  std::vector<Action> done(Time now);   // after asked_back(): nothing is out any more, the lease may go
+  std::vector<Action> close(Time now);  // give it back, and campaign no more
+
+  // Whether an act may begin now. Asked right before each act; says no without a tick.
+  bool held(Time now) const;
+  Time held_until() const;  // by this process's clock; 0: not held
+  Token token() const;      // of the grant that is held; 0: none
+  bool asked_back() const;  // somebody else is to have it: end soon, then done()
+  Time next() const;        // when tick() is wanted, at the latest
+
+ private:
+  struct Out {
+    Ask ask;
+    Time sent = 0;
+  };
+  std::vector<Action> step(Time now);
+  void send(Time now, Ask::Kind kind, std::vector<Action>& out);
+  void lose(Time now, const char* why, std::vector<Action>& out);
+  Time pause();
+
+  HolderSettings settings_;
+  net::Random random_;
+  bool wanted_ = false;
+  bool asked_back_ = false;
+  uint64_t numbers_ = 0;
+  std::optional<Out> out_;  // one call at a time; one that is not answered in time is given up
+  Token token_ = 0;
+  Time until_ = 0;  // acts may begin before it
+  Time next_ask_ = 0;
+  Time span_ = 0;  // of the next pause
+};
+
+}  // namespace firspool::lease
