Hear lists in any form, and ask a silent watch anew before what it missed counts

Cause: net/lines.cpp took each line of a watch for a whole list, so an indented list was never heard: the first `{` was unreadable and the watch was opened anew, for ever. Silence was noticed after 5 s and the new call then waited out a pause drawn over the fleet's size (0 to 12 s for 300 relays), while what a silent watch misses counts as told 6 s after it fell silent. The same pause held back relays whose own agent pushes lists.

Change: a text ends where its brackets do, in pieces of any size (net/texts); blanks within a text are no sign of life. Silence is noticed after 3 s, the first call waits 1 s at most, an agent of one's own is asked within 0.2 s. The registry's client keeps the same clock. The lab's discovery writes lists in four forms and lets watches fall silent.

Watch.IsOpenedAnewInTimeAfterASilence and Watch.AsksAnAgentOfItsOwnAtOnce fail with the old constants.

--- a/lab/platform.cpp
+++ b/lab/platform.cpp
@@ -14,7 +14,10 @@
 using Error = boost::system::error_code;
 using nlohmann::json;
 
-constexpr double kQuiet = 2;  // an empty line while nothing changes
+constexpr double kQuiet = 2;       // an empty line while nothing changes
+constexpr double kMostSilent = 6;  // what a silent watch misses counts as told so long after it fell silent
+const std::string kBlank = "\n \r\n";  // what stands between two lines where they are spaced
+constexpr size_t kPiece = 7;           // bytes; no list's names are as short
 
 int index_of(std::string_view target) {
   const size_t at = target.find("index=");
@@ -47,6 +50,7 @@
 
   // A change is listed: heard after a while.
   void changed(const Change& change, double late) {
+    if (silent_) return;
     pending_.push_back({owner_->world_.now() + late, change});
     if (pending_.size() == 1) wait_for_change();
   }
@@ -64,6 +68,16 @@
 
   void disown() { owner_ = nullptr; }
 
+  int relay() const { return relay_; }
+  std::vector<Change> silence() {
+    silent_ = true;
+    timer_.cancel();
+    late_.cancel();
+    std::vector<Change> out;
+    for (const auto& [at, change] : std::exchange(pending_, {})) out.push_back(change);
+    return out;
+  }
+
  private:
   void call() {
     if (owner_ == nullptr) return;
@@ -88,7 +102,7 @@
 
   void whole() {
     tell_all();
-    answer(200, owner_->list(relay_).dump());
+    answer(200, text(owner_->list(relay_)));
   }
 
   void tell_all() {
@@ -130,8 +144,28 @@
     });
   }
 
+  // As the scenario wants it written. All forms are the same JSON.
+  std::string text(const json& list) const {
+    const std::string& form = owner_->world_.scenario.discovery_form;
+    if (form == "line") return list.dump();
+    std::string out = list.dump(1);
+    if (form != "spaced") return out;
+    for (size_t at = 0; (at = out.find('\n', at)) != std::string::npos; at += kBlank.size() + 1)
+      out.insert(at, kBlank);
+    return out;
+  }
+
+  std::string chunks(const json& list) const {
+    const std::string all = text(list) + "\n";
+    if (owner_->world_.scenario.discovery_form != "pieces") return chunk(all);
+    std::string out;
+    for (size_t at = 0; at < all.size(); at += kPiece) out += chunk(all.substr(at, kPiece));
+    return out;
+  }
+
   void watch(int index) {
     watching_ = true;
+    owner_->silent_.erase(relay_);
     std::string head =
         "HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\nTransfer-Encoding: chunked\r\n\r\n";
     json line = {{"revision", owner_->revision_}, {"complete", false}, {"members", json::array()}};
@@ -146,7 +180,7 @@
       line = owner_->list(relay_);
       tell_all();
     }
-    write(head + chunk(line.dump() + "\n"));
+    write(head + chunks(line));
     quiet();
   }
 
@@ -159,7 +193,7 @@
   void quiet() {
     timer_.expires_after(std::chrono::milliseconds(static_cast<int>(kQuiet * 1000)));
     timer_.async_wait([self = shared_from_this()](const Error& error) {
-      if (error || self->owner_ == nullptr) return;
+      if (error || self->owner_ == nullptr || self->silent_) return;
       self->write(chunk("\n"));
       self->quiet();
     });
@@ -168,14 +202,14 @@
   void wait_for_change() {
     late_.expires_at(owner_->world_.point(pending_.front().first));
     late_.async_wait([self = shared_from_this()](const Error& error) {
-      if (error || self->owner_ == nullptr) return;
+      if (error || self->owner_ == nullptr || self->silent_) return;
       const Change change = self->pending_.front().second;
       self->pending_.erase(self->pending_.begin());
       json line = {{"revision", change.revision}, {"complete", false}, {"members", json::array()}};
       line["members"].push_back(
           self->owner_->member(self->relay_, change.place, change.phase, change.up_since_ms));
       self->note_told(change.place, change.phase);
-      self->write(chunk(line.dump() + "\n"));
+      self->write(self->chunks(line));
       if (!self->pending_.empty()) self->wait_for_change();
     });
   }
@@ -199,6 +233,7 @@
   tcp::endpoint peer_;
   int relay_ = -1;
   bool watching_ = false;
+  bool silent_ = false;
   std::vector<std::pair<double, Change>> pending_;
   std::string queue_;
   std::string writing_;
@@ -277,6 +312,31 @@
   for (const auto& session : open_) {
     if (session->watching()) session->changed(changes_.back(), after);
   }
+  for (const auto& [relay, since] : silent_) {
+    count_as_told(relay, changes_.back(), std::max(world_.now() + after, since + kMostSilent));
+  }
+}
+
+void Platform::count_as_told(int relay, const Change& change, double at) {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(world_.io);
+  timer->expires_at(world_.point(at));
+  timer->async_wait([this, timer, relay, change](const Error& error) {
+    if (error || !silent_.contains(relay)) return;  // else a new watch has told it
+    const auto& where = world_.places()[change.place];
+    world_.note({0, What::kTold, relay, where.receiver, where.endpoint, -1, 0, 0, change.phase});
+  });
+}
+
+void Platform::silence(int relay) {
+  bool any = false;
+  for (const auto& session : open_) {
+    if (!session->watching() || session->relay() != relay) continue;
+    any = true;
+    for (const Change& missed : session->silence()) {
+      count_as_told(relay, missed, world_.now() + kMostSilent);
+    }
+  }
+  if (any) silent_.try_emplace(relay, world_.now());
 }
 
 void Platform::down(bool out) {
--- a/lab/platform.h
+++ b/lab/platform.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <list>
+#include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <vector>
@@ -20,6 +21,9 @@
   void told_at_start(int relay);         // notes that its configuration held the list as it is now
   // A new phase of an endpoint: active, leaving, left. Watches hear of it late.
   void set(size_t place, const std::string& phase);
+  // The relay's watches say nothing more, and stay open. What they would have told counts as told 6 s later
+  // at the latest, unless a new watch has told it before.
+  void silence(int relay);
   struct Calls {
     size_t all = 0;     // for lists and watches
     size_t failed = 0;  // that waited too long, or came while discovery was down
@@ -41,6 +45,7 @@
   };
 
   void accept();
+  void count_as_told(int relay, const Change& change, double at);
   nlohmann::json member(int relay, size_t place, const std::string& phase, int64_t up_since_ms) const;
   double turn();  // when a call that comes now is dealt with
 
@@ -50,6 +55,7 @@
   std::vector<Entry> entries_;  // by place
   std::vector<Change> changes_;
   int revision_ = 1;
+  std::map<int, double> silent_;  // since when, by relay, until it watches anew
   double busy_until_ = 0;
   bool down_ = false;
   Calls calls_;
--- a/lab/play.cpp
+++ b/lab/play.cpp
@@ -515,6 +515,8 @@
         return stop(who, begins);
       case FaultKind::kUpgrade:
         return begins ? upgrade(who) : void();
+      case FaultKind::kWatchSilent:
+        return begins ? platform_.silence(who) : void();
       case FaultKind::kDisk:
         if (relay(who).process > 0) fill_disk(relay(who).process, relay(who).folder, begins);
         return note(who, begins ? "disk_full" : "disk_free");
--- a/lab/registry_play.cpp
+++ b/lab/registry_play.cpp
@@ -631,8 +631,8 @@
     self.revision = std::max(self.revision, revision);
     return true;
   };
-  one.stream =
-      std::make_shared<net::Lines>(io_, http(any_member()), milliseconds(6000), heard, [this, index] {
+  one.stream = std::make_shared<net::Lines>(
+      io_, http(any_member()), milliseconds(6000), heard, [this, index](net::Lines::End) {
         crowd_[index].stream->close();
         after(random_.between(0.05, 0.5), [this, index] { crowd_watch(index); });
       });
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -72,7 +72,7 @@
   const auto kind = s.word("kind", {}, {names.begin(), names.end()});
   out.kind = static_cast<FaultKind>(std::find(names.begin(), names.end(), kind) - names.begin());
   out.at_s = s.number("at_s", {}, 0, kDay);
-  const bool ends = out.kind != FaultKind::kUpgrade;
+  const bool ends = out.kind != FaultKind::kUpgrade && out.kind != FaultKind::kWatchSilent;
   out.for_s = s.number("for_s", ends ? std::nullopt : std::optional<double>(0), 0, kDay);
   out.each_s = s.number("each_s", 0, 0, kDay);
   out.share = s.number("share", 1, 0, 1);
@@ -137,6 +137,7 @@
   out.discovery_call_ms = discovery.number("call_ms", out.discovery_call_ms, 0, 10'000);
   out.discovery_give_up_s = discovery.number("give_up_s", out.discovery_give_up_s, 0.01, 60);
   out.discovery_late_s = discovery.range("late_s", out.discovery_late_s, 0, 5);
+  out.discovery_form = discovery.word("form", out.discovery_form, {"line", "indented", "spaced", "pieces"});
   discovery.done();
 
   const Section recovery = root.table("recovery");
@@ -166,8 +167,8 @@
 
 const std::vector<std::string>& fault_names() {
   static const std::vector<std::string> kNames = {
-      "kill",  "term", "stop",   "upgrade", "disk", "cut",   "loss",  "delay",
-      "reset", "down", "silent", "failing", "slow", "lower", "drain", "discovery_down"};
+      "kill", "term",   "stop",    "upgrade", "disk",  "cut",   "loss",           "delay",       "reset",
+      "down", "silent", "failing", "slow",    "lower", "drain", "discovery_down", "watch_silent"};
   return kNames;
 }
 
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -63,6 +63,7 @@
   kLower,          // receivers lower their limits
   kDrain,          // endpoints are listed as leaving, then as gone
   kDiscoveryDown,  // calls for lists fail and watches end
+  kWatchSilent,    // a relay's open watch says nothing more and stays open; a new one may be opened
 };
 
 // The names in files, in the order of FaultKind.
@@ -122,6 +123,8 @@
   double discovery_call_ms = 5;
   double discovery_give_up_s = 2;
   Range discovery_late_s{0, 1};
+  std::string discovery_form = "line";  // how a list is written: on a line, indented over many, indented with
+                                        // blank lines between, or in pieces that break anywhere
 
   double cold_s = 12;
   double start_capacity = 0.29;
--- a/net/backoff.cpp
+++ b/net/backoff.cpp
@@ -21,8 +21,9 @@
       span_(first_),
       random_(seed) {}
 
-milliseconds Backoff::next() {
-  const milliseconds pause(std::uniform_int_distribution<milliseconds::rep>(0, span_.count())(random_));
+milliseconds Backoff::next(milliseconds most) {
+  const milliseconds pause(
+      std::uniform_int_distribution<milliseconds::rep>(0, std::min(span_, most).count())(random_));
   span_ = std::min(2 * span_, longest_);
   return pause;
 }
--- a/net/backoff.h
+++ b/net/backoff.h
@@ -13,8 +13,10 @@
  public:
   Backoff(int callers, uint64_t seed);
 
-  std::chrono::milliseconds next();  // the pause before the next call; the one after it may be longer
-  void reset() { span_ = first_; }   // a call was answered
+  // The pause before the next call; the one after it may be longer. `most`: where that call must not wait
+  // longer.
+  std::chrono::milliseconds next(std::chrono::milliseconds most = std::chrono::milliseconds::max());
+  void reset() { span_ = first_; }  // a call was answered
 
  private:
   std::chrono::milliseconds first_;
--- a/net/lines.cpp
+++ b/net/lines.cpp
@@ -1,5 +1,6 @@
 #include "lines.h"
 
+#include <array>
 #include <utility>
 
 namespace firspool::net {
@@ -8,12 +9,12 @@
 namespace http = boost::beast::http;
 using Error = boost::system::error_code;
 
-constexpr size_t kMostLine = 8 * 1024 * 1024;
+constexpr size_t kMostHeld = 8 * 1024 * 1024;
 
 }  // namespace
 
 Lines::Lines(boost::asio::io_context& io, const tcp::endpoint& address, std::chrono::milliseconds silence,
-             Line line, std::function<void()> ended)
+             Line line, std::function<void(End)> ended)
     : address_(address),
       silence_(silence),
       line_(std::move(line)),
@@ -21,7 +22,13 @@
       socket_(io),
       timer_(io) {}
 
+const char* Lines::name_of(End how) {
+  static constexpr std::array kNames = {"failed", "ended", "silent", "unreadable"};
+  return kNames[static_cast<size_t>(how)];
+}
+
 void Lines::start(const std::string& target) {
+  whole_ = std::chrono::steady_clock::now();
   heard();
   request_.version(11);
   request_.method(http::verb::get);
@@ -29,11 +36,11 @@
   request_.set(http::field::host, address_.address().to_string());
   parser_.body_limit(boost::none);
   socket_.async_connect(address_, [self = shared_from_this()](const Error& error) {
-    if (error) return self->end();
+    if (error) return self->end(End::kFailed);
     http::async_write(self->socket_, self->request_, [self](const Error& failed, size_t) {
-      if (failed) return self->end();
+      if (failed) return self->end(End::kFailed);
       http::async_read_header(self->socket_, self->buffer_, self->parser_, [self](const Error& none, size_t) {
-        if (none || self->parser_.get().result_int() != 200) return self->end();
+        if (none || self->parser_.get().result_int() != 200) return self->end(End::kFailed);
         self->read();
       });
     });
@@ -51,20 +58,23 @@
   http::async_read_some(socket_, buffer_, parser_, [self = shared_from_this()](const Error& error, size_t) {
     if (!self->ended_) return;
     std::string& body = self->parser_.get().body();
-    self->lines_ += body;
+    self->texts_.add(body);
     body.clear();
-    size_t end = 0;
-    // From where the last look ended: a list of thousands of endpoints comes in many pieces.
-    while ((end = self->lines_.find('\n', std::exchange(self->looked_, self->lines_.size()))) !=
-           std::string::npos) {
-      self->heard();
-      const bool readable = self->line_(self->lines_.substr(0, end));
+    const uint64_t told = self->texts_.told();
+    const auto now = std::chrono::steady_clock::now();
+    bool news = false;
+    while (const auto text = self->texts_.next()) {
+      news = true;
+      const bool readable = self->line_(*text);
       if (!self->ended_) return;
-      if (!readable) return self->end();
-      self->lines_.erase(0, end + 1);
-      self->looked_ = 0;
+      if (!readable) return self->end(End::kUnreadable);
+    }
+    if (news || !self->texts_.within()) self->whole_ = now;
+    if (now - self->whole_ > kMostText * self->silence_ || self->texts_.size() > kMostHeld) {
+      return self->end(End::kUnreadable);
     }
-    if (error || self->parser_.is_done() || self->lines_.size() > kMostLine) return self->end();
+    if (error || self->parser_.is_done()) return self->end(End::kEnded);
+    if (news || self->texts_.told() > told) self->heard();
     self->read();
   });
 }
@@ -73,12 +83,12 @@
 void Lines::heard() {
   timer_.expires_after(silence_);
   timer_.async_wait([self = shared_from_this()](const Error& error) {
-    if (!error) self->end();
+    if (!error) self->end(End::kSilent);
   });
 }
 
-void Lines::end() {
-  if (const auto ended = ended_) ended();
+void Lines::end(End how) {
+  if (const auto ended = ended_) ended(how);
 }
 
 }  // namespace firspool::net
--- a/net/lines.h
+++ b/net/lines.h
@@ -1,4 +1,4 @@
-// An endless answer that comes in lines, over HTTP/1.1 on a connection of its own.
+// An endless answer of JSON texts, each on a line or on many, over HTTP/1.1 on a connection of its own.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -11,17 +11,28 @@
 #include <string>
 
 #include "address.h"
+#include "texts.h"
 
 namespace firspool::net {
 
 class Lines : public std::enable_shared_from_this<Lines> {
  public:
-  // Called with each line, without its end; false where it cannot be read: then the stream ends.
+  // Called with each text, without its line's end, and with an empty one for an empty line between texts;
+  // false where it cannot be read: then the stream ends.
   using Line = std::function<bool(const std::string&)>;
-
-  // `silence`: the longest time between two lines, and up to the first one. Nothing is called after close().
+  enum class End {
+    kFailed,     // no connection, or no answer of 200
+    kEnded,      // by the other side
+    kSilent,     // open, and nothing came for too long: what it has missed is not known
+    kUnreadable  // `line` said so, or a text has no end
+  };
+  static const char* name_of(End how);  // "failed", "ended", "silent", "unreadable"
+
+  // `silence`: the longest time between two things that come, and up to the first one. Within a text blanks
+  // do not count, and it must end within `kMostText` of that. Nothing is called after close().
+  static constexpr int kMostText = 4;
   Lines(boost::asio::io_context& io, const tcp::endpoint& address, std::chrono::milliseconds silence,
-        Line line, std::function<void()> ended);
+        Line line, std::function<void(End)> ended);
 
   void start(const std::string& target);
   void close();
@@ -30,19 +41,19 @@
  private:
   void read();
   void heard();
-  void end();
+  void end(End how);
 
   tcp::endpoint address_;
   std::chrono::milliseconds silence_;
   Line line_;
-  std::function<void()> ended_;  // empty once it is closed
+  std::function<void(End)> ended_;  // empty once it is closed
   tcp::socket socket_;
   boost::asio::steady_timer timer_;
   boost::beast::http::request<boost::beast::http::empty_body> request_;
   boost::beast::flat_buffer buffer_;
   boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
-  std::string lines_;
-  size_t looked_ = 0;  // so much of them has no line's end
+  Texts texts_;
+  std::chrono::steady_clock::time_point whole_;  // when the last text ended, or none had begun
 };
 
 }  // namespace firspool::net
--- a/registry/client.cpp
+++ b/registry/client.cpp
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 constexpr int kMostRedirects = 4;
-constexpr std::chrono::milliseconds kSilence{6000};  // a line is due every 2 s
+constexpr std::chrono::milliseconds kSilence{3000};  // a line is due every 2 s
 
 uint64_t seed() {
   std::random_device random;
@@ -89,7 +89,7 @@
       return more;
     };
     stream = std::make_shared<net::Lines>(io, members_[at_ % members_.size()], kSilence, read,
-                                          [&] { stream->close(); });
+                                          [&](net::Lines::End) { stream->close(); });
     std::string target = "/api/targets?stream=1";
     if (revision >= 0) target += "&index=" + std::to_string(revision) + "&identity=" + identity;
     stream->start(target);
--- a/registry/follow.cpp
+++ b/registry/follow.cpp
@@ -10,9 +10,14 @@
 namespace firspool::registry {
 namespace {
 
-constexpr std::chrono::milliseconds kSilence{5000};  // a line is due every 2 s
+constexpr std::chrono::milliseconds kSilence{3000};  // a line is due every 2 s
+// What a silent watch misses counts as told 6 s after it fell silent, which may be 2 s before that was
+// noticed.
+constexpr std::chrono::milliseconds kAfterSilence{1000};
 constexpr auto kTick = std::chrono::milliseconds(500);
 
+using std::chrono::milliseconds;
+
 Millis now_ms() { return net::steady_now() / 1000; }
 
 }  // namespace
@@ -41,8 +46,8 @@
   tick_.cancel();
 }
 
-void Follower::connect_later() {
-  pause_.expires_after(backoff_.next());
+void Follower::connect_later(milliseconds most) {
+  pause_.expires_after(backoff_.next(most));
   pause_.async_wait([this](const boost::system::error_code& error) {
     if (!error && !stream_) connect();
   });
@@ -52,7 +57,7 @@
   const auto self = std::make_shared<net::Lines*>(nullptr);
   stream_ = std::make_shared<net::Lines>(
       io_, at(), kSilence, [this](const std::string& text) { return line(text); },
-      [this, self] { ended(*self); });
+      [this, self](net::Lines::End how) { ended(*self, how); });
   *self = stream_.get();
   std::string target = "/api/targets?stream=1";
   if (guard_.revision() >= 0)
@@ -60,13 +65,13 @@
   stream_->start(target);
 }
 
-void Follower::ended(const net::Lines* stream) {
+void Follower::ended(const net::Lines* stream, net::Lines::End how) {
   if (stream != stream_.get()) return;
   stream_->close();
   stream_.reset();
   at_ = (at_ + 1) % settings_.members.size();
   ++moves_;
-  connect_later();
+  connect_later(how == net::Lines::End::kSilent ? kAfterSilence : milliseconds::max());
 }
 
 Millis Follower::heard_ms() const { return heard_ < 0 ? -1 : now_ms() - heard_; }
--- a/registry/follow.h
+++ b/registry/follow.h
@@ -44,8 +44,8 @@
 
  private:
   void connect();
-  void connect_later();
-  void ended(const net::Lines* stream);
+  void connect_later(std::chrono::milliseconds most = std::chrono::milliseconds::max());
+  void ended(const net::Lines* stream, net::Lines::End how);
   bool line(const std::string& text);
   void current();
   void heed(const std::vector<nlohmann::json>& lines);
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -1,7 +1,10 @@
 #include "discovery.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "net/log.h"
+
 namespace firspool::relay {
 namespace {
 
@@ -10,7 +13,11 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kFirstPause{50};
-constexpr milliseconds kSilence{5000};  // an empty line is due every 2 s
+constexpr milliseconds kSilence{3000};  // an empty line is due every 2 s
+// What a silent watch misses counts as told 6 s after it fell silent, which may be 2 s before that is
+// noticed; a call may have to wait for 2 s.
+constexpr milliseconds kAfterSilence{1000};
+constexpr milliseconds kLongestPushed{200};  // between calls to an agent that serves this relay only
 constexpr size_t kMostOld = 2;
 constexpr milliseconds kPostTimeout{400};  // the agent is on this machine and answers at once
 constexpr milliseconds kLongestPostPause{200};
@@ -19,7 +26,7 @@
 }  // namespace
 
 Watch::Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, Revision revision,
-             Told told, std::function<void()> current, Backoff backoff)
+             Told told, std::function<void()> current, const Pace& pace)
     : io_(io),
       address_(address),
       names_(std::move(names)),
@@ -27,7 +34,8 @@
       told_(std::move(told)),
       current_(std::move(current)),
       pause_(io),
-      backoff_(std::move(backoff)) {
+      pushed_(pace.pushed),
+      backoff_(pace.callers, pace.seed) {
   connect_later();
 }
 
@@ -52,8 +60,8 @@
   connect_later();
 }
 
-void Watch::connect_later() {
-  pause_.expires_after(backoff_.next());
+void Watch::connect_later(milliseconds most) {
+  pause_.expires_after(backoff_.next(pushed_ ? std::min(most, kLongestPushed) : most));
   pause_.async_wait([this](const Error& error) {
     if (!error && !stream_) connect();
   });
@@ -64,18 +72,19 @@
   const auto self = std::make_shared<net::Lines*>(nullptr);
   stream_ = std::make_shared<net::Lines>(
       io_, address_, kSilence, [this](const std::string& text) { return line(text); },
-      [this, self] { lost(*self); });
+      [this, self](net::Lines::End how) { lost(*self, how); });
   *self = stream_.get();
   stream_->start("/api/targets?stream=1&index=" + std::to_string(revision_()));
 }
 
-void Watch::lost(net::Lines* stream) {
+void Watch::lost(net::Lines* stream, net::Lines::End how) {
   stream->close();
+  net::log::info("watch_lost", "how", net::Lines::name_of(how), "current", stream == stream_.get() ? 1 : 0);
   if (stream != stream_.get()) {
     return void(std::erase_if(old_, [stream](const auto& old) { return old.get() == stream; }));
   }
   stream_.reset();
-  connect_later();
+  connect_later(how == net::Lines::End::kSilent ? kAfterSilence : milliseconds::max());
 }
 
 bool Watch::line(const std::string& text) {
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -21,8 +21,6 @@
 
 namespace firspool::relay {
 
-using net::Backoff;
-
 // Follows the watch for as long as it lives: a connection that ends or falls silent is opened again.
 // Discovery may move to another address: what the old one has written still counts, so it is heard to its
 // end.
@@ -31,9 +29,17 @@
   using Told = std::function<void(const HostList&)>;
   using Revision = std::function<int64_t()>;  // the one that is known
 
+  // How calls are spread over time. Where lists are pushed the agent is this relay's own and answers at once,
+  // and what it has counts as told: then no call waits for the fleet's others.
+  struct Pace {
+    int callers = 1;  // that call the same discovery
+    bool pushed = false;
+    uint64_t seed = 0;
+  };
+
   // `current` is called after each line: what there was to tell has been told.
   Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, Revision revision,
-        Told told, std::function<void()> current, Backoff backoff);
+        Told told, std::function<void()> current, const Pace& pace);
   ~Watch();
 
   void move(const tcp::endpoint& address);
@@ -42,8 +48,8 @@
 
  private:
   void connect();
-  void connect_later();
-  void lost(net::Lines* stream);
+  void connect_later(std::chrono::milliseconds most = std::chrono::milliseconds::max());
+  void lost(net::Lines* stream, net::Lines::End how);
   bool line(const std::string& text);
 
   boost::asio::io_context& io_;
@@ -53,7 +59,8 @@
   Told told_;
   std::function<void()> current_;
   boost::asio::steady_timer pause_;
-  Backoff backoff_;
+  bool pushed_;
+  net::Backoff backoff_;
   std::shared_ptr<net::Lines> stream_;
   std::vector<std::shared_ptr<net::Lines>> old_;  // of addresses before, until they end
 };
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -130,7 +130,7 @@
         io, config.discovery, config.names,
         [this, known = config.known.revision] { return std::max(known, directory_.revision()); },
         [this](const HostList& list) { told(list); }, [this] { open(); },
-        Backoff(config.settings.relays, config.seed));
+        Watch::Pace{config.settings.relays, !config.settings.ask_for_list, config.seed});
   }
   recall();
   told(config_.known);
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -273,9 +273,11 @@
 };
 
 struct LabRun {
-  explicit LabRun(const std::string& faults, uint64_t seed = 1, const std::string& relay = UMBERHOIST)
-      : scenario(parse_scenario("test", kPlain + faults)), plan(draw_plan(scenario, seed)) {
-    played = play(scenario, plan, {relay, folder.path, "debug", {}});
+  explicit LabRun(const std::string& faults, uint64_t seed = 1, double seconds = 3)
+      : scenario(parse_scenario("test", kPlain + faults)) {
+    scenario.seconds = seconds;
+    plan = draw_plan(scenario, seed);
+    played = play(scenario, plan, {UMBERHOIST, folder.path, "debug", {}});
     verdicts = check(played.history, rules_of(scenario, plan));
     said = summary(played.history, verdicts);
   }
@@ -284,6 +286,11 @@
         std::count_if(played.history.events.begin(), played.history.events.end(),
                       [&](const Event& e) { return e.what == What::kProcess && e.text == text; }));
   }
+  size_t told(const std::string& phase) const {
+    return static_cast<size_t>(
+        std::count_if(played.history.events.begin(), played.history.events.end(),
+                      [&](const Event& e) { return e.what == What::kTold && e.text == phase; }));
+  }
   Folder folder;
   Scenario scenario;
   Plan plan;
@@ -341,6 +348,26 @@
   EXPECT_EQ(run.processes("lost"), 1U);
 }
 
+// However discovery writes its lists, drains are heeded.
+TEST(Lab, PlaysListsInEveryForm) {
+  for (const char* form : {"indented", "spaced", "pieces"}) {
+    const LabRun run(std::string("[discovery]\nform = \"") + form +
+                     "\"\nlate_s = 0\n[[fault]]\nkind = \"drain\"\nat_s = 0.4\nfor_s = 1.2\n");
+    EXPECT_TRUE(held(run.verdicts)) << form << ": " << run.said;
+    EXPECT_GT(run.told("leaving"), 0U) << form;
+  }
+}
+
+// Watches that fall silent are opened anew before what they miss counts as told.
+TEST(Lab, PlaysWatchesThatFallSilent) {
+  const LabRun run(
+      "[discovery]\nlate_s = 0\n[[fault]]\nkind = \"watch_silent\"\nat_s = 0.3\n"
+      "[[fault]]\nkind = \"drain\"\nat_s = 0.5\nfor_s = 9\n",
+      1, 9);
+  EXPECT_TRUE(held(run.verdicts)) << run.said;
+  EXPECT_GT(run.told("leaving"), 0U);
+}
+
 // A relay that says +OK and does nothing: the lab must see it.
 TEST(Lab, SeesAStandInRelayThatLosesMessages) {
   Folder folder;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,11 +1,48 @@
 // What every process uses: the log.
 #include <gtest/gtest.h>
 
+#include "net/backoff.h"
 #include "net/log.h"
+#include "net/texts.h"
 
 namespace firspool::net {
 namespace {
 
+std::vector<std::string> texts(const std::string& bytes, size_t piece) {
+  Texts reader;
+  std::vector<std::string> out;
+  for (size_t at = 0; at < bytes.size(); at += piece) {
+    reader.add(bytes.substr(at, piece));
+    while (const auto text = reader.next()) out.push_back(*text);
+  }
+  return out;
+}
+
+TEST(Texts, EndWhereTheirBracketsDoInPiecesOfAnySize) {
+  const std::string one = R"({"a":["]}\"{",1]})";
+  const std::string two = "{\n \"b\": {\r\n \n  \"c\": []\n }\n}";
+  const std::string all = one + "\n\n" + two + "\n \r\n" + one + one + "\n";
+  const std::vector<std::string> expected = {one, "", two, "", one, one};
+  for (size_t piece = 1; piece <= all.size(); ++piece) EXPECT_EQ(texts(all, piece), expected) << piece;
+}
+
+TEST(Texts, HandOutWhatBeginsNoneAndWhatBreaksOff) {
+  EXPECT_EQ(texts("oops {}\n\n{\"a\n{}\n", 3), (std::vector<std::string>{"oops {}", "", "{\"a", "{}"}));
+  Texts reader;
+  reader.add("{\"a\":1,\n \n");
+  EXPECT_FALSE(reader.next());
+  EXPECT_TRUE(reader.within());
+  EXPECT_EQ(reader.told(), 7U);  // blanks say nothing
+}
+
+TEST(Backoff, WaitsNoLongerThanIsAskedAndStillWidens) {
+  Backoff backoff(300, 1);
+  for (int i = 0; i < 100; ++i) EXPECT_LE(backoff.next(std::chrono::milliseconds(1000)).count(), 1000);
+  std::chrono::milliseconds longest{0};
+  for (int i = 0; i < 100; ++i) longest = std::max(longest, backoff.next());
+  EXPECT_GT(longest.count(), 12'000);
+}
+
 TEST(Log, QuotesWhatWouldNotBeOneField) {
   std::string line;
   log::detail::fields(line, "id", std::string("9b1f"), "n", 3, "none", "", "why", "no \"room\"\nleft", "sum",
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -34,6 +34,46 @@
   }
 }
 
+using net::Backoff;
+
+struct Watches {
+  Watches(const Watch::Pace& pace, int count) {
+    for (int i = 0; i < count; ++i) {
+      Watch::Pace own = pace;
+      own.seed = static_cast<uint64_t>(i);
+      open.push_back(std::make_unique<Watch>(
+          io, net::parse_address(discovery.address()), ListNames{}, [] { return 1; }, [](const HostList&) {},
+          [] {}, own));
+    }
+  }
+  bool opened(int count, std::chrono::milliseconds within) {
+    const auto end = std::chrono::steady_clock::now() + within;
+    while (discovery.watches() < count && std::chrono::steady_clock::now() < end) {
+      io.run_for(std::chrono::milliseconds(20));
+    }
+    return discovery.watches() == count;
+  }
+  boost::asio::io_context io;
+  testing::Discovery discovery;
+  std::vector<std::unique_ptr<Watch>> open;
+};
+
+// Watches of a large fleet that fall silent at once are all opened anew before what they miss counts as told,
+// which is 6 s later.
+TEST(Watch, IsOpenedAnewInTimeAfterASilence) {
+  Watches fleet({100, false, 0}, 12);
+  ASSERT_TRUE(fleet.opened(12, std::chrono::seconds(20)));
+  fleet.discovery.hush();
+  EXPECT_TRUE(fleet.opened(24, std::chrono::seconds(6))) << fleet.discovery.watches();
+}
+
+// An agent that pushes lists serves this relay alone, and what it has counts as told: it is asked at once,
+// however large the fleet.
+TEST(Watch, AsksAnAgentOfItsOwnAtOnce) {
+  Watches fleet({3000, true, 0}, 12);
+  EXPECT_TRUE(fleet.opened(12, std::chrono::seconds(2))) << fleet.discovery.watches();
+}
+
 // Discovery deals with one call after another: relays that start together must not call it together.
 TEST(Backoff, SpreadsTheFirstCallsOfAFleet) {
   int soon = 0;
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -165,8 +165,10 @@
       if (mute_) continue;
       connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
       size_t sent = 0;
+      const int number = ++watches_;
       while (!over_ && !readable(connection.fd(), 50)) {
         std::unique_lock lock(mutex_);
+        if (number <= hushed_) continue;
         if (!chunk(sent < told_.size() ? told_[sent++] + "\n" : "\n")) return;
       }
       return;
@@ -189,9 +191,11 @@
   }
 }
 
-void Discovery::tell(const nlohmann::json& list) {
+void Discovery::tell(const nlohmann::json& list) { tell(list.dump()); }
+
+void Discovery::tell(const std::string& text) {
   const std::lock_guard lock(mutex_);
-  told_.push_back(list.dump());
+  told_.push_back(text);
 }
 
 nlohmann::json Discovery::notice() {
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -86,6 +86,9 @@
   ~Discovery();
   std::string address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
   void tell(const nlohmann::json& list);       // to the watches that are open and those to come
+  void tell(const std::string& text);          // the same, as it is to be written
+  void hush() { hushed_ = watches_.load(); }   // the watches that are open say nothing more, and stay open
+  int watches() const { return watches_; }     // that were opened so far
   nlohmann::json notice();                     // the next one that was answered 204
   void refuse(int count) { refuse_ = count; }  // so many posts are answered 503 first
   void mute() { mute_ = true; }                // watches get no answer, as while discovery is down
@@ -97,6 +100,8 @@
   Socket listener_ = Socket::listen();
   std::atomic<bool> over_ = false;
   std::atomic<bool> mute_ = false;
+  std::atomic<int> watches_ = 0;
+  std::atomic<int> hushed_ = 0;
   std::atomic<int> refuse_ = 0;
   std::atomic<int> refused_ = 0;
   std::mutex mutex_;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -292,6 +292,22 @@
   EXPECT_EQ(id_of(replacement.next()), "00000000000000a2");  // and not to the one that leaves
 }
 
+TEST(Program, FollowsAListThatIsIndented) {
+  Stage s;
+  Host replacement;
+  s.program.start();
+  const nlohmann::json list = list_json(
+      2, false,
+      {member_json("s-1", s.host.address(), 7, "leaving"), member_json("s-2", replacement.address(), 7)});
+  s.discovery.tell("\n" + list.dump(1));
+  s.discovery.tell(list_json(3, false, {member_json("s-3", replacement.address(), 8)}));
+  EXPECT_EQ(s.put("00000000000000a1", facts("keyed", 8)), "+OK");  // that both were heard
+  EXPECT_EQ(id_of(replacement.next()), "00000000000000a1");
+  replacement.answer("200");
+  EXPECT_EQ(s.put("00000000000000a2", facts("keyed", 7)), "+OK");
+  EXPECT_EQ(id_of(replacement.next()), "00000000000000a2");
+}
+
 // The configuration's list may be older than what the process before was told, and discovery down.
 TEST(Program, RemembersTheListAcrossARestart) {
   Stage s;
--- a/tests/registry_play_test.cpp
+++ b/tests/registry_play_test.cpp
@@ -245,7 +245,7 @@
           if (!line.empty()) out.push_back(json::parse(line));
           return true;
         },
-        [] {});
+        [](net::Lines::End) {});
     lines->start("/api/targets?stream=1" + query);
     io_.run_for(std::chrono::milliseconds(wait_ms));
     lines->close();
