Registry: the table of leases, a core that every member will run

Tasks that the fleet does once need an owner, and a successor whose acts cannot meet those of the owner before. The table grants to one holder under a token that only grows, keeps a line, hands over, and grants nothing for the longest TTL once it begins anew.

Found on the way: a token must not be guessed while it is being given out, or a release could end a grant and give the next one the same token; a hand-over may name the grant it is meant for, so that asking again is safe; a late campaign must not shorten what was promised.

--- a/registry/leases.h
+++ b/registry/leases.h
@@ -5,6 +5,7 @@
 // which the lease was granted, so it only grows, also over a restore.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -38,14 +39,14 @@
     kRelease,   // by the holder with its token; of one who waits: its place in line. The next in line gets it
     kHandOver,  // an operator's, or the holder's: to `to`, or where it is empty to the next in line. It must
                 // wait in line. The holder is told at its next renewal, releases, and `to` gets it; if `to`
-                // is gone by then the next in line does
-    kRecord  // by the holder with its token: what it has done so far, for its successor
+                // is gone by then the next in line does. With a token only of that grant: safe to repeat
+    kRecord     // by the holder with its token: what it has done so far, for its successor
   };
   Kind kind = Kind::kCampaign;
   std::string name;    // of the lease
   std::string holder;  // who asks: a name of a process, new with each start
   Millis ttl_ms = 0;   // kCampaign
-  Token token = 0;     // kRenew, kRelease, kRecord
+  Token token = 0;     // kRenew, kRelease, kRecord; kHandOver: or none
   std::string to;      // kHandOver
   std::string record;  // kRecord
 };
@@ -110,9 +111,23 @@
   // The table begins: nothing is granted for the longest TTL. Grants that stand go on.
   void begin(Millis now);
 
+  // The longest TTL from now on: of the leader of the log, so that members whose files differ agree.
+  void set_most_ttl(Millis most_ttl_ms) { limits_.most_ttl_ms = std::max(most_ttl_ms, limits_.least_ttl_ms); }
+
   // Whether an act under this token is within the grant as the log stands.
   bool holds(const std::string& name, Token token) const;
   const std::map<std::string, Lease>& all() const { return leases_; }
+  const LeaseLimits& limits() const { return limits_; }
+  Millis grants_from_ms() const { return grants_from_ms_; }
+
+  // Since this object began: figures, no part of what members agree on.
+  struct Counts {
+    uint64_t granted = 0;
+    uint64_t expired = 0;
+    uint64_t fenced = 0;
+    uint64_t renewed = 0;
+  };
+  const Counts& counts() const { return counts_; }
 
   nlohmann::json pack() const;                                             // for the snapshot
   static Leases unpack(const nlohmann::json& packed, LeaseLimits limits);  // throws std::exception
@@ -120,10 +135,15 @@
  private:
   void grant(Lease& lease, Token at, Millis now, const std::string& holder, Millis ttl_ms);
   void end(Lease& lease, Token at, Millis now, const char* how);  // and the next in line gets it
+  void next(Lease& lease, Token at, Millis now, const std::string& wanted);
+  Lease* make(const std::string& name);
+  LeaseAnswer campaign(Token at, Millis now, const LeaseCall& call);
 
   LeaseLimits limits_;
   std::map<std::string, Lease> leases_;
   Millis grants_from_ms_ = 0;
+  Millis next_ms_ = 0;  // nothing lapses before it; what a walk over all has found
+  Counts counts_;
 };
 
 }  // namespace firspool::registry
