Registry: leases in the state machine, and a fence for other writes

Two kinds of commands: a call of a lease, and what each leader writes first, which gives each lease a whole TTL again and carries the longest TTL, so that members whose files differ agree. Any other command may name a grant: it is applied only while that stands, and what is refused is not remembered under its name. A new list grants nothing for the longest TTL; a restored one keeps the leases.

Members of before cannot read the new commands: stop all, then start all.

Four tests more, and leases in the random one.

--- a/registry/leases.cpp
+++ b/registry/leases.cpp
@@ -206,9 +206,13 @@
   return out;
 }
 
-bool Leases::holds(const std::string& name, Token token) const {
+Token Leases::standing(const std::string& name) const {
   const auto it = leases_.find(name);
-  return it != leases_.end() && token != 0 && !it->second.holder.empty() && it->second.token == token;
+  return it == leases_.end() || it->second.holder.empty() ? 0 : it->second.token;
+}
+
+bool Leases::holds(const std::string& name, Token token) const {
+  return token != 0 && standing(name) == token;
 }
 
 json Leases::pack() const {
--- a/registry/leases.h
+++ b/registry/leases.h
@@ -116,6 +116,7 @@
 
   // Whether an act under this token is within the grant as the log stands.
   bool holds(const std::string& name, Token token) const;
+  Token standing(const std::string& name) const;  // of the grant that stands; 0: none does
   const std::map<std::string, Lease>& all() const { return leases_; }
   const LeaseLimits& limits() const { return limits_; }
   Millis grants_from_ms() const { return grants_from_ms_; }
--- a/registry/state.cpp
+++ b/registry/state.cpp
@@ -12,7 +12,7 @@
 
 using nlohmann::json;
 
-constexpr int kFormat = 1;
+constexpr int kFormat = 2;  // 1: without leases
 
 std::string to_bytes(const json& value) {
   const std::vector<uint8_t> bytes = json::to_cbor(value);
@@ -35,6 +35,23 @@
   return unpack(j);
 }
 
+json pack(const LeaseLimits& l) {
+  return json::array({l.least_ttl_ms, l.most_ttl_ms, l.waiting, l.past, l.leases, l.record});
+}
+
+LeaseLimits unpack_limits(const json& j) { return {j.at(0), j.at(1), j.at(2), j.at(3), j.at(4), j.at(5)}; }
+
+json pack(const LeaseCall& c) {
+  return json::array({static_cast<int>(c.kind), c.name, c.holder, c.ttl_ms, c.token, c.to, c.record});
+}
+
+LeaseCall unpack_call(const json& j) {
+  const int kind = j.at(0);
+  if (kind < 0 || kind > static_cast<int>(LeaseCall::Kind::kRecord))
+    throw std::invalid_argument("no such call of a lease");
+  return {static_cast<LeaseCall::Kind>(kind), j.at(1), j.at(2), j.at(3), j.at(4), j.at(5), j.at(6)};
+}
+
 }  // namespace
 
 std::string encode(const Command& command) {
@@ -42,15 +59,23 @@
   for (const Item& item : command.items) {
     items.push_back({item.id, pack(item.entry), item.if_match ? json(*item.if_match) : json()});
   }
-  return to_bytes(
-      {static_cast<int>(command.kind), command.now_ms, command.request, items, command.text, command.number});
+  json out = {
+      static_cast<int>(command.kind), command.now_ms, command.request, items, command.text, command.number};
+  // What logs of before have nothing of is left out where it says nothing.
+  const bool lease = command.kind == Command::Kind::kLease;
+  if (lease || !command.fence.empty()) {
+    out.push_back(lease ? pack(command.lease) : json());
+    out.push_back(command.fence);
+    out.push_back(command.fence_token);
+  }
+  return to_bytes(out);
 }
 
 Command decode(const std::string& bytes) {
   const json j = json::from_cbor(bytes, false);  // a log may pad it
   Command out;
   const int kind = j.at(0);
-  if (kind < 0 || kind > static_cast<int>(Command::Kind::kMember))
+  if (kind < 0 || kind > static_cast<int>(Command::Kind::kLead))
     throw std::invalid_argument("no such command");
   out.kind = static_cast<Command::Kind>(kind);
   out.now_ms = j.at(1);
@@ -62,6 +87,11 @@
   }
   out.text = j.at(4);
   out.number = j.at(5);
+  if (j.size() > 6) {
+    if (!j.at(6).is_null()) out.lease = unpack_call(j.at(6));
+    out.fence = j.at(7);
+    out.fence_token = j.at(8);
+  }
   return out;
 }
 
@@ -143,6 +173,13 @@
       !command.request.empty() && before != answers_.end()) {
     return before->second;
   }
+  if (!command.fence.empty()) {
+    leases_.tick(index, now_);  // what has lapsed stands for nothing
+    if (!leases_.holds(command.fence, command.fence_token)) {
+      // Not remembered: the same may come again under another grant.
+      return {Answer::Kind::kFenced, leases_.standing(command.fence), command.fence};
+    }
+  }
   Answer answer{Answer::Kind::kDone, revision_, ""};
   const bool one = command.items.size() == 1;
   switch (command.kind) {
@@ -192,11 +229,15 @@
       break;
     }
     case Command::Kind::kTick:
+      leases_.tick(index, now_);
       expire(index);
       answer.revision = revision_;
       break;
     case Command::Kind::kFound:
-      if (identity_.empty()) found(at, command);
+      if (identity_.empty()) {
+        found(at, command);
+        leases_.begin(now_);  // holders of the table before may still act
+      }
       answer.revision = revision_;
       break;
     case Command::Kind::kRestore:
@@ -207,6 +248,18 @@
       if (command.text.empty()) members_.erase(command.number);
       if (!command.text.empty()) members_[command.number] = command.text;
       break;
+    case Command::Kind::kLease:
+      // Each call is safe to repeat, and must see the table as it is: no answer is remembered.
+      if (identity_.empty()) {
+        answer.lease = {LeaseAnswer::Kind::kRefused, 0, "", 0, false, "", leases_.limits().most_ttl_ms};
+      } else {
+        answer.lease = leases_.apply(index, now_, command.lease);
+      }
+      return answer;
+    case Command::Kind::kLead:
+      if (command.number > 0) leases_.set_most_ttl(static_cast<Millis>(command.number));
+      leases_.lead(now_);
+      break;
   }
   remember(command.request, answer);
   return answer;
@@ -256,13 +309,13 @@
   const json limits = {limits_.kept_changes,  limits_.kept_requests, limits_.leave_ms,
                        limits_.lapse_span_ms, limits_.lapse_share,   limits_.lapse_least};
   return to_bytes({kFormat, limits, base_, revision_, compacted_, now_, identity_, members_, entries, due_,
-                   lapses_, held_, changes, answers, lapsed_});
+                   lapses_, held_, changes, answers, lapsed_, pack(leases_.limits()), leases_.pack()});
 }
 
 State State::restore(const std::string& bytes) {
   const json j = json::from_cbor(bytes, false);  // a log may pad it
-  if (j.at(0) != kFormat)
-    throw std::invalid_argument("a snapshot of format " + j.at(0).dump() + "; this program reads " +
+  if (j.at(0) != 1 && j.at(0) != kFormat)
+    throw std::invalid_argument("a snapshot of format " + j.at(0).dump() + "; this program reads 1 and " +
                                 std::to_string(kFormat));
   const json& l = j.at(1);
   State out({l.at(0), l.at(1), l.at(2), l.at(3), l.at(4), l.at(5)});
@@ -281,6 +334,7 @@
   for (const json& a : j.at(13))
     out.remember(a.at(0), {static_cast<Answer::Kind>(a.at(1).get<int>()), a.at(2), a.at(3)});
   out.lapsed_ = j.at(14).get<std::set<std::string>>();
+  if (j.at(0) != 1) out.leases_ = Leases::unpack(j.at(16), unpack_limits(j.at(15)));
   return out;
 }
 
--- a/registry/state.h
+++ b/registry/state.h
@@ -16,10 +16,11 @@
 #include <string>
 #include <vector>
 
+#include "leases.h"
+
 namespace firspool::registry {
 
 using Revision = uint64_t;
-using Millis = int64_t;  // a time, or a span of it, in milliseconds
 
 struct Limits {
   size_t kept_changes = 10'000;   // for watches; older ones are compacted
@@ -54,8 +55,9 @@
 };
 
 struct Command {
-  // kFound begins the list if there is none; kRestore puts another in its place.
-  enum class Kind { kWrite, kRegister, kRenew, kTick, kFound, kRestore, kMember };
+  // kFound begins the list if there is none; kRestore puts another in its place, the leases stand. kLead is
+  // the first of each leader.
+  enum class Kind { kWrite, kRegister, kRenew, kTick, kFound, kRestore, kMember, kLease, kLead };
   Kind kind = Kind::kTick;
   Millis now_ms = 0;
   std::string request;      // a client's name for it; one that comes again gets the first one's answer
@@ -64,8 +66,12 @@
   // kMember: a member's HTTP address, empty where it goes, and its number.
   // kTick: the leader's hash of its state, in hex, and the index that it was taken at; empty where there is
   // none.
+  // kLead: the longest TTL of a lease from now on; 0: as it is.
   std::string text;
   uint64_t number = 0;
+  LeaseCall lease = {};   // kLease
+  std::string fence{};    // the lease under which this is written: it must stand, or nothing changes
+  Token fence_token = 0;  // and its grant
 };
 
 // CBOR, for the log. decode throws std::exception on what is no command.
@@ -73,11 +79,13 @@
 Command decode(const std::string& bytes);
 
 struct Answer {
-  enum class Kind { kDone, kConflict, kUnknown };
+  enum class Kind { kDone, kConflict, kUnknown, kFenced };
   Kind kind = Kind::kDone;
-  Revision revision =
-      0;           // kDone: of the change, or of the state where nothing changed; kConflict: of the entry
-  std::string id;  // kConflict, kUnknown: which
+  // kDone: of the change, or of the state where nothing changed; kConflict: of the entry; kFenced: the token
+  // of the grant that stands, 0 where there is none.
+  Revision revision = 0;
+  std::string id;                         // kConflict, kUnknown, kFenced: which
+  std::optional<LeaseAnswer> lease = {};  // kLease
   bool operator==(const Answer&) const = default;
 };
 
@@ -93,7 +101,7 @@
  public:
   explicit State(Limits limits = {}) : limits_(limits) {}
 
-  // In the order of the log; an index grows with each call. For kConflict nothing has changed.
+  // In the order of the log; an index grows with each call. For kConflict and kFenced nothing has changed.
   Answer apply(uint64_t index, const Command& command);
 
   Revision revision() const { return revision_; }    // of the last change
@@ -103,6 +111,7 @@
   const std::map<uint64_t, std::string>& members() const { return members_; }  // their HTTP addresses
   Millis now() const { return now_; }
   size_t registrations() const { return due_.size(); }
+  const Leases& leases() const { return leases_; }
   bool held() const { return held_; }  // expiry stands still: too much would lapse at once
 
   // What changed after a revision, by revision, the newest of each id only; nothing where that has been
@@ -139,6 +148,7 @@
   std::deque<Millis> lapses_;     // when some lapsed, within the span
   bool held_ = false;
   std::deque<Change> changes_;
+  Leases leases_;
   std::map<std::string, Answer> answers_;
   std::deque<std::string> requests_;  // in their order
 };
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -147,6 +147,94 @@
   EXPECT_TRUE(s.members().empty());
 }
 
+Command found(Millis now = 0) { return {Command::Kind::kFound, now, "", {}, "list-1", 1000}; }
+Command lease(LeaseCall::Kind kind, const std::string& holder, Millis now, Token token = 0) {
+  return {Command::Kind::kLease, now, "", {}, "", 0, {kind, "l", holder, 5000, token, "", ""}};
+}
+Command under(Command command, Token token) {
+  command.fence = "l";
+  command.fence_token = token;
+  return command;
+}
+constexpr auto kCampaign = LeaseCall::Kind::kCampaign;
+
+TEST(State, GrantsLeasesOnceItsTableIsOldEnough) {
+  State s;
+  EXPECT_EQ(s.apply(1, lease(kCampaign, "a", 0)).lease->kind, LeaseAnswer::Kind::kRefused);
+  s.apply(2, found(0));
+  EXPECT_EQ(s.apply(3, lease(kCampaign, "a", 29'999)).lease->wait_ms, 1);
+  EXPECT_EQ(s.apply(4, lease(kCampaign, "a", 30'000)).lease->token, 1004U);
+  s.apply(5, lease(kCampaign, "b", 33'000));
+  s.apply(6, tick(35'000));
+  EXPECT_TRUE(s.leases().holds("l", 1006));
+}
+
+TEST(State, FencesWritesByTheGrantThatStands) {
+  State s;
+  s.apply(1, found(0));
+  const Token first = s.apply(2, lease(kCampaign, "a", 30'000)).lease->token;
+  s.apply(3, lease(kCampaign, "b", 30'001));
+  EXPECT_EQ(s.apply(4, under(write({{"a", entry("a"), {}}}, "r1", 34'999), first)).kind, Answer::Kind::kDone);
+  const Answer fenced = s.apply(5, under(write({{"a", {}, {}}}, "r2", 35'000), first));  // no tick since
+  EXPECT_EQ(fenced, (Answer{Answer::Kind::kFenced, 1005, "l"}));
+  EXPECT_TRUE(s.entries().contains("a"));
+  // What was done stays done; what was refused may come under another grant.
+  EXPECT_EQ(s.apply(6, under(write({{"a", entry("a"), {}}}, "r1"), first)).kind, Answer::Kind::kDone);
+  EXPECT_EQ(s.apply(7, under(write({{"a", {}, {}}}, "r2"), 1005)).kind, Answer::Kind::kDone);
+  EXPECT_FALSE(s.entries().contains("a"));
+  for (Command command : {enroll("x", 1000, 0), found(), Command{Command::Kind::kRestore, 0, "", {}, "n", 9}})
+    EXPECT_EQ(s.apply(8, under(command, first)).kind, Answer::Kind::kFenced);
+}
+
+TEST(State, KeepsItsLeasesOverARestoreAndANewLeader) {
+  State s;
+  s.apply(1, found(0));
+  s.apply(2, {Command::Kind::kLead, 0, "", {}, "", 6000});
+  EXPECT_EQ(s.leases().limits().most_ttl_ms, 6000);
+  const Token token = s.apply(3, lease(kCampaign, "a", 30'000)).lease->token;
+  s.apply(4, {Command::Kind::kRestore, 31'000, "", {}, "list-2", 5000});
+  EXPECT_TRUE(s.leases().holds("l", token));
+  s.apply(5, {Command::Kind::kLead, 34'000, "", {}, "", 0});
+  s.apply(6, tick(38'999));
+  EXPECT_TRUE(State::restore(s.snapshot()).leases().holds("l", token));
+  s.apply(7, tick(39'000));
+  EXPECT_FALSE(s.leases().holds("l", token));
+  EXPECT_EQ(s.apply(8, lease(kCampaign, "b", 39'000)).lease->token, 5008U);
+}
+
+// What programs before leases wrote: commands of six parts, snapshots of format 1.
+TEST(State, ReadsLogsAndSnapshotsOfBefore) {
+  const auto bytes = [](const nlohmann::json& j) {
+    const std::vector<uint8_t> cbor = nlohmann::json::to_cbor(j);
+    return std::string(cbor.begin(), cbor.end());
+  };
+  const auto old = nlohmann::json::array({"a", "127.0.0.1:80", "a", "std", 1, "active", 1.5, 0, 0, 7});
+  const Command command = decode(bytes({0, 5, "r", {{"a", old, nullptr}}, "", 0}) + std::string(3, '\0'));
+  EXPECT_EQ(command.items.at(0).entry->revision, 7U);
+  EXPECT_EQ(command.fence, "");
+  const auto none = nlohmann::json::array();
+  const auto limits = nlohmann::json::array({10, 10, 1000, 1000, 0.3, 2});
+  const State s = State::restore(bytes({1,
+                                        limits,
+                                        1000,
+                                        1007,
+                                        1002,
+                                        60,
+                                        "list",
+                                        none,
+                                        {old},
+                                        nlohmann::json::object(),
+                                        none,
+                                        false,
+                                        none,
+                                        none,
+                                        none}));
+  EXPECT_EQ(s.revision(), 1007U);
+  EXPECT_EQ(s.entries().at("a").cell, 1);
+  EXPECT_TRUE(s.leases().all().empty());
+  EXPECT_EQ(State::restore(s.snapshot()).hash(), s.hash());
+}
+
 // Members that apply the same log agree to the byte, also one that began from a snapshot in the middle of it.
 TEST(State, IsTheSameAtEveryMember) {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
@@ -157,11 +245,17 @@
     State a(limits);
     std::optional<State> b;
     Millis now = 0;
-    for (Revision index = 1; index <= 400; ++index) {
+    a.apply(1, found(-40'000));
+    for (Revision index = 2; index <= 400; ++index) {
       const std::string id = "e" + std::to_string(random.below(12));
       now += static_cast<Millis>(random.below(600));
       Command command = tick(now);
-      const size_t kind = random.below(5);
+      const size_t kind = random.below(9);
+      if (kind >= 5)
+        command = lease(static_cast<LeaseCall::Kind>(random.below(5)), "h" + std::to_string(random.below(4)),
+                        now, a.leases().standing("l"));
+      if (kind == 5) command = under(write({{id, entry(id), {}}}, "", now), a.leases().standing("l"));
+      if (kind == 6) command = {Command::Kind::kLead, now, "", {}, "", 5000 + random.below(100)};
       if (kind == 0)
         command = write({{id, entry(id, static_cast<int>(random.below(5))), {}}},
                         "r" + std::to_string(random.below(40)), now);
