Leases: the holder's core, which counts its time from the sending

Need: a process that wants a lease has to know by itself when it may not act any more, also when nobody answers it, when answers come late, doubled or for another call, and when it was stopped.

The span in which acts may begin ends TTL x (1 - margin) after the granting or renewing call was SENT; renewals come with jitter, `renewals` of them fit into that span; only the answer to the call that is out counts, and only within the time for answers; fenced or another grant's token stops at once; a margin that has passed stops, then it campaigns again with backoff. done() and close() give the lease back and ask until that is answered or the lease has lapsed by itself; a campaign that is out at close() is waited for, since it may still bring the lease. next() says when nothing is left to do, for a shell that wants to end.

--- a/lease/holder.h
+++ b/lease/holder.h
@@ -87,16 +87,29 @@
   Time held_until() const;  // by this process's clock; 0: not held
   Token token() const;      // of the grant that is held; 0: none
   bool asked_back() const;  // somebody else is to have it: end soon, then done()
-  Time next() const;        // when tick() is wanted, at the latest
+  // When tick() is wanted, at the latest; the greatest Time where nothing is to be done any more, so after
+  // close() that the lease has been given back or has lapsed.
+  Time next() const;
 
  private:
   struct Out {
     Ask ask;
     Time sent = 0;
   };
+  // The lease, or without a token the place in line, is to go back: asked for until that is answered, or
+  // until it has lapsed by itself.
+  struct Leaving {
+    Token token = 0;
+    Time until = 0;
+  };
   std::vector<Action> step(Time now);
   void send(Time now, Ask::Kind kind, std::vector<Action>& out);
+  void extend(Time now, Time sent, const Reply& reply);
+  void later(Time now, const Reply& reply);
   void lose(Time now, const char* why, std::vector<Action>& out);
+  void give_back(Time now, const char* why, std::vector<Action>& out);
+  Time useful() const;
+  Time between_asks();
   Time pause();
 
   HolderSettings settings_;
@@ -105,6 +118,7 @@
   bool asked_back_ = false;
   uint64_t numbers_ = 0;
   std::optional<Out> out_;  // one call at a time; one that is not answered in time is given up
+  std::optional<Leaving> leaving_;
   Token token_ = 0;
   Time until_ = 0;  // acts may begin before it
   Time next_ask_ = 0;
