Leases: never hold a grant again whose release may still be on its way

Need: a release that took longer than a TTL arrived while its sender held the same grant again: the log had no leader meanwhile, so no time had passed in it, and a campaign of the same holder is answered with the same grant. The next in line got the lease while the first still held it.

Change: the holder remembers the highest token that it wanted to give back; a campaign that is answered with such a grant leads to another release, not to acts.

Measured: the new test fails without the check.

--- a/lease/holder.cpp
+++ b/lease/holder.cpp
@@ -50,9 +50,10 @@
       break;
     case Ask::Kind::kCampaign:
       if (reply.kind == Reply::Kind::kHeld && reply.token != 0) {
-        if (leaving_) {  // closed meanwhile: what came goes back
-          leaving_ = Leaving{reply.token, call.sent + settings_.ttl};
-          next_ask_ = now;
+        if (leaving_ || reply.token <= given_back_) {
+          // Closed meanwhile, or a grant that was to go back and still stands: a release that is late on its
+          // way would end it at any time.
+          leave(now, reply.token);
         } else if (call.sent + useful() > now) {
           token_ = reply.token;
           asked_back_ = false;
@@ -162,8 +163,14 @@
 }
 
 void Holder::give_back(Time now, const char* why, std::vector<Action>& out) {
-  leaving_ = Leaving{token_, now + settings_.ttl};
+  const Token token = token_;
   lose(now, why, out);
+  leave(now, token);
+}
+
+void Holder::leave(Time now, Token token) {
+  leaving_ = Leaving{token, now + settings_.ttl};
+  given_back_ = std::max(given_back_, token);
   next_ask_ = now;
 }
 
--- a/lease/holder.h
+++ b/lease/holder.h
@@ -107,6 +107,7 @@
   void extend(Time now, Time sent, const Reply& reply);
   void later(Time now, const Reply& reply);
   void lose(Time now, const char* why, std::vector<Action>& out);
+  void leave(Time now, Token token);
   void give_back(Time now, const char* why, std::vector<Action>& out);
   Time useful() const;
   Time between_asks();
@@ -119,6 +120,7 @@
   uint64_t numbers_ = 0;
   std::optional<Out> out_;  // one call at a time; one that is not answered in time is given up
   std::optional<Leaving> leaving_;
+  Token given_back_ = 0;  // up to it no grant is held any more: its release may still arrive
   Token token_ = 0;
   Time until_ = 0;  // acts may begin before it
   Time next_ask_ = 0;
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -224,6 +224,25 @@
   EXPECT_EQ(next_ask(it.h).ask.kind, Ask::Kind::kCampaign);
 }
 
+// A release may be longer on its way than a TTL, while the registry has no leader and no time passes in its
+// log: then the grant still stands, and to hold it again would let that release end it under the holder.
+TEST(Holder, NeverHoldsAGrantAgainThatItWantedToGiveBack) {
+  Held it;
+  it.h.done(300 * kMs);
+  Sent campaign = next_ask(it.h);
+  while (campaign.ask.kind == Ask::Kind::kRelease) campaign = next_ask(it.h);
+  ASSERT_EQ(campaign.ask.kind, Ask::Kind::kCampaign);
+  const auto actions = it.h.answered(campaign.at, campaign.ask.number, held(5));
+  EXPECT_TRUE(all<Begin>(actions).empty());
+  const Ask release = ask(actions);
+  EXPECT_EQ(release.kind, Ask::Kind::kRelease);
+  EXPECT_EQ(release.token, 5U);
+  EXPECT_FALSE(it.h.held(campaign.at));
+  it.h.answered(campaign.at, release.number, held(0));
+  const Sent again = next_ask(it.h);
+  EXPECT_EQ(all<Begin>(it.h.answered(again.at, again.ask.number, held(6))).size(), 1U);
+}
+
 TEST(Holder, CloseGivesBackAndEnds) {
   Held it;
   const auto actions = it.h.close(300 * kMs);
