Relay: refuse operators' calls under a lease that has gone to another

A program that acts for the fleet may be stopped and go on after its lease has gone to its successor; its late call was carried out like any other.

POST calls at the operators' address may carry X-Lease and X-Lease-Token: one below the highest seen of that lease is refused (409 lease_fenced); X-Lease-Fence-Only, or /v1/relay/fence, raises the token and does nothing else. Half a claim is refused (400) rather than carried out as a call by hand.

--- a/relay/control.cpp
+++ b/relay/control.cpp
@@ -4,6 +4,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <iterator>
+#include <optional>
 #include <variant>
 
 namespace firspool::relay {
@@ -33,6 +35,8 @@
     call.what = What::kDrain;
   } else if (path == "/v1/relay/activate") {
     call.what = What::kActivate;
+  } else if (path == "/v1/relay/fence") {
+    call.what = What::kFence;
   } else if (path.starts_with(kEndpoints)) {
     const std::string_view rest = path.substr(kEndpoints.size());
     const size_t slash = rest.find('/');
@@ -50,6 +54,26 @@
   return call;
 }
 
+// The lease under which a call is made, if any. A part of a claim is refused rather than passed over: the
+// call would be carried out as if an operator had made it by hand.
+std::optional<Claim> claim_of(const http::request<http::string_body>& request, OperatorCall::What what) {
+  const auto text_of = [&](const char* name) {
+    const auto [first, last] = request.equal_range(name);
+    if (first == last) return std::optional<std::string>();
+    if (std::next(first) != last) throw ClaimUnreadable(std::string(name) + " is there more than once");
+    return std::optional<std::string>({first->value().data(), first->value().size()});
+  };
+  const auto lease = text_of("X-Lease");
+  const auto token = text_of("X-Lease-Token");
+  const auto only = text_of("X-Lease-Fence-Only");
+  if (only && *only != "1") throw ClaimUnreadable("X-Lease-Fence-Only is not 1");
+  if (!lease && !token && !only && what != OperatorCall::What::kFence) return {};
+  if (!lease || !token) throw ClaimUnreadable(lease ? "X-Lease-Token is missing" : "X-Lease is missing");
+  Claim out = parse_claim(*lease, *token);
+  out.only = only.has_value() || what == OperatorCall::What::kFence;
+  return out;
+}
+
 int status_of(const Error& error) {
   if (error == http::error::body_limit) return 413;
   if (error == http::error::header_limit || error == http::error::buffer_overflow) return 431;
@@ -93,15 +117,21 @@
  private:
   OperatorReply handled() const {
     const auto target = parser_.get().target();
-    const auto call = parse_call(parser_.get().method(), {target.data(), target.size()});
-    if (const auto* reply = std::get_if<OperatorReply>(&call)) return *reply;
-    return owner_->handle_(std::get<OperatorCall>(call));
+    const auto parsed = parse_call(parser_.get().method(), {target.data(), target.size()});
+    if (const auto* reply = std::get_if<OperatorReply>(&parsed)) return *reply;
+    auto call = std::get<OperatorCall>(parsed);
+    try {
+      if (parser_.get().method() == http::verb::post) call.claim = claim_of(parser_.get(), call.what);
+      return owner_->handle_(call);
+    } catch (const FenceError& error) {
+      return {error.status(), error.body(), true};
+    }
   }
 
   void answer(OperatorReply reply) {
     answer_.version(11);
     answer_.result(static_cast<unsigned>(reply.status));
-    answer_.set(http::field::content_type, "text/plain; version=0.0.4");
+    answer_.set(http::field::content_type, reply.json ? "application/json" : "text/plain; version=0.0.4");
     if (reply.status == 405) answer_.set(http::field::allow, reply.body.substr(0, reply.body.find(' ')));
     answer_.keep_alive(false);
     answer_.body() = std::move(reply.body);
--- a/relay/control.h
+++ b/relay/control.h
@@ -7,21 +7,25 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "directory.h"
+#include "fence.h"
 
 namespace firspool::relay {
 
 struct OperatorCall {
-  enum class What { kReady, kMetrics, kSuspend, kResume, kDrain, kActivate };
+  enum class What { kReady, kMetrics, kSuspend, kResume, kDrain, kActivate, kFence };
   What what = What::kReady;
   std::string id;  // of the endpoint, where the call names one
+  std::optional<Claim> claim;
 };
 
 struct OperatorReply {
   int status = 200;
   std::string body;
+  bool json = false;
 };
 
 class Control {
--- /dev/null
+++ b/relay/fence.cpp
@@ -0,0 +1,68 @@
+#include "fence.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace firspool::relay {
+
+using net::Family;
+
+std::string FenceError::body() const {
+  return nlohmann::ordered_json{
+             {"code", code()}, {"error", what()}, {"action", action()}, {"outcome", "none"}}
+             .dump() +
+         "\n";
+}
+
+ClaimUnreadable::ClaimUnreadable(const std::string& what)
+    : FenceError("lease_unreadable", Family::kMisuse, what,
+                 "send X-Lease and X-Lease-Token as the registry granted them, or neither of them") {}
+
+LeaseFenced::LeaseFenced(const Claim& claim, Token highest)
+    : FenceError("lease_fenced", Family::kRefused,
+                 "token " + std::to_string(claim.token) + " of lease " + claim.lease +
+                     " is over: this relay has seen " + std::to_string(highest),
+                 "leave the task to the lease's holder now (GET /api/leases at the registry), or call "
+                 "without X-Lease") {}
+
+LeaseNamesFull::LeaseNamesFull(const std::string& lease)
+    : FenceError("lease_names_full", Family::kRefused,
+                 "lease " + lease + " would be one more than the " + std::to_string(Fences::kMostLeases) +
+                     " that a relay remembers",
+                 "use a lease of before; only an empty state folder forgets them") {}
+
+FenceNotKept::FenceNotKept(const std::string& lease)
+    : FenceError("fence_not_kept", Family::kBroken,
+                 "the token of lease " + lease + " could not be written to the state folder",
+                 "make room on the relay's disk and call again") {}
+
+Claim parse_claim(const std::string& lease, const std::string& token) {
+  const auto printable = [](char c) { return c >= ' ' && c <= '~'; };
+  if (lease.empty() || lease.size() > Fences::kMostName ||
+      !std::all_of(lease.begin(), lease.end(), printable)) {
+    throw ClaimUnreadable("X-Lease is no name of 1 to " + std::to_string(Fences::kMostName) +
+                          " printable characters");
+  }
+  Claim out{lease, 0, false};
+  const char* end = token.data() + token.size();
+  const auto [rest, error] = std::from_chars(token.data(), end, out.token);
+  if (error != std::errc{} || rest != end || out.token == 0) {
+    throw ClaimUnreadable("X-Lease-Token is no whole number above 0");
+  }
+  return out;
+}
+
+void Fences::raise(const Claim& claim) {
+  const auto found = highest_.find(claim.lease);
+  if (found == highest_.end()) {
+    if (highest_.size() >= kMostLeases) throw LeaseNamesFull(claim.lease);
+    highest_[claim.lease] = claim.token;
+  } else if (claim.token < found->second) {
+    throw LeaseFenced(claim, found->second);
+  } else {
+    found->second = claim.token;
+  }
+}
+
+}  // namespace firspool::relay
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -192,6 +192,31 @@
   write(framed(Writer(kFact, name).text(value).payload()));
 }
 
+bool Journal::remember_synced(const std::string& name, const std::string& value) {
+  const auto old = remembered_.find(kSynced + name);
+  if (old == remembered_.end() || old->second != value) {
+    unsynced_ = true;
+    remember(kSynced + name, value);
+  }
+  if (!settle()) return false;
+  if (unsynced_ && !sync()) {
+    behind_ = true;  // the next sync of the same file may say yes to what is lost: it is written anew
+    return false;
+  }
+  unsynced_ = false;
+  return true;
+}
+
+// The folder too: the file's name may be new in it.
+bool Journal::sync() {
+  if (::fdatasync(file_) != 0) return false;
+  const int folder = ::open(path_.parent_path().c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (folder < 0) return false;
+  const bool done = ::fsync(folder) == 0;
+  ::close(folder);
+  return done;
+}
+
 bool Journal::accepted(const Handed& m, Time due) {
   Writer out(kAccepted, m.id);
   out.text(m.message_class).text(m.key).number(m.destination).number(due).text(m.body).text(m.tenant);
@@ -270,7 +295,11 @@
   if (bytes.size() > most_file_) return false;
   const int fresh = ::open(fresh_path_.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
   if (fresh < 0) return false;
-  if (!write_all(fresh, bytes) || ::rename(fresh_path_.c_str(), path_.c_str()) != 0) {
+  // Facts that were on the disk must not leave it with the old file.
+  const auto synced = remembered_.lower_bound(kSynced);
+  const bool has_synced = synced != remembered_.end() && synced->first.starts_with(kSynced);
+  if (!write_all(fresh, bytes) || (has_synced && ::fdatasync(fresh) != 0) ||
+      ::rename(fresh_path_.c_str(), path_.c_str()) != 0) {
     ::close(fresh);
     ::unlink(fresh_path_.c_str());
     return false;
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -46,6 +46,10 @@
   bool settle() { return !behind_ || compact(); }
   // A fact beside the messages; the last value of a name counts, an empty one forgets it.
   void remember(const std::string& name, const std::string& value);
+  // A fact, under kSynced + name, that outlasts the machine's end too: true once it is on the disk. False:
+  // not yet, and it must not be relied on; a later call with the same value tries again.
+  static constexpr const char* kSynced = "fence ";
+  bool remember_synced(const std::string& name, const std::string& value);
 
  private:
   void replay();
@@ -54,13 +58,15 @@
   bool append(const std::string& id, const std::string& payload);
   bool write(std::string_view bytes);
   bool compact();
+  bool sync();
 
   std::filesystem::path path_;
   std::filesystem::path fresh_path_;
   size_t most_file_;  // one file's size; while it is compacted there are two
   int file_ = -1;
   size_t size_ = 0;
-  bool behind_ = false;  // something that stands in the live records could not be written
+  bool behind_ = false;   // something that stands in the live records could not be written
+  bool unsynced_ = true;  // facts that must outlast the machine may not be on the disk: not known at a start
   size_t live_bytes_ = 0;
   uint64_t order_ = 0;
   std::map<std::string, uint64_t> places_;  // live messages, in the order they came
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -19,6 +19,7 @@
 const std::string kRevision = "revision";
 const std::string kIdentity = "identity";
 const std::string kDestinations = "destinations";
+const std::string kFence = Journal::kSynced;
 
 const std::string kRefused = "-BUSY";
 const std::string kBusy = kRefused + " 500";  // no room: some messages end within that time
@@ -164,6 +165,7 @@
     }
     if (name.starts_with(kClass)) recall_class(name.substr(kClass.size()), value);
     if (name.starts_with(kSuspended)) directory_.suspend(name.substr(kSuspended.size()));
+    if (name.starts_with(kFence)) fences_.recall(name.substr(kFence.size()), fact.get<Token>());
     if (name.starts_with(kHost)) members.push_back(fact);
     if (name.starts_with(kDestination)) {
       memories.push_back(
@@ -287,6 +289,11 @@
 
 OperatorReply Relay::operate(const OperatorCall& call) {
   if (handed_over_ && call.what != OperatorCall::What::kMetrics) return {503, "handed over\n"};
+  if (call.claim) fence(*call.claim);
+  if (call.claim && call.claim->only) {
+    const nlohmann::ordered_json raised = {{"lease", call.claim->lease}, {"token", call.claim->token}};
+    return {200, raised.dump() + "\n", true};
+  }
   switch (call.what) {
     case OperatorCall::What::kReady:
       if (!clients_) return {503, "starting\n"};
@@ -304,11 +311,24 @@
       return {200, figures().text()};
     case OperatorCall::What::kSuspend:
     case OperatorCall::What::kResume:
+    case OperatorCall::What::kFence:  // always with a claim, and answered above
       break;
   }
   return suspend(call.id, call.what == OperatorCall::What::kSuspend);
 }
 
+// What is carried out under a token is preceded on the disk by that token: else a holder of before could act
+// after its successor, with a restart between the two.
+void Relay::fence(const Claim& claim) {
+  try {
+    fences_.raise(claim);
+    if (!journal_.remember_synced(claim.lease, std::to_string(claim.token))) throw FenceNotKept(claim.lease);
+  } catch (const FenceError& error) {
+    net::log::warn(error.code(), "lease", claim.lease, "token", claim.token);
+    throw;
+  }
+}
+
 // An endpoint that is out by hand may not be listed just now: it can be put back all the same.
 OperatorReply Relay::suspend(const std::string& id, bool out) {
   const ListedHost* host = directory_.find(directory_.handle(id));
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -17,6 +17,7 @@
 #include "control.h"
 #include "directory.h"
 #include "discovery.h"
+#include "fence.h"
 #include "figures.h"
 #include "handover.h"
 #include "journal.h"
@@ -67,6 +68,7 @@
   Figures figures() const;
   OperatorReply suspend(const std::string& id, bool out);
   OperatorReply operate(const OperatorCall& call);
+  void fence(const Claim& claim);
   void recall();
   void follow();
   void told_by_registry(const nlohmann::json& line);
@@ -111,6 +113,7 @@
   std::map<std::string, Away> away_;
   Descriptor listener_;  // of the process before
   Journal journal_;
+  Fences fences_;
   Policy policy_;
   std::vector<Event> events_;
   std::vector<Pending> pending_;
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -1,5 +1,6 @@
 // What operators can ask of the running program, over loopback sockets.
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/un.h>
@@ -486,6 +487,111 @@
   EXPECT_EQ(s.host.next().headers.at("x-call-id"), "a1");
 }
 
+// ---- Calls under a lease ----
+
+std::string claim(const std::string& token, const std::string& lease = "task/call") {
+  return "X-Lease: " + lease + "\r\nX-Lease-Token: " + token + "\r\n";
+}
+const std::string kOnly = "X-Lease-Fence-Only: 1\r\n";
+
+// The status, and of an error its code.
+std::string under(const Program& program, const std::string& target, const std::string& fields) {
+  const auto [status, body] = program.operate("POST", target, fields);
+  const auto said = nlohmann::json::parse(body, nullptr, false);
+  EXPECT_TRUE(status == 200 || said.is_object()) << body;
+  return std::to_string(status) + (said.is_object() && status != 200 ? " " + said.value("code", "") : "");
+}
+
+TEST(Fence, OutlastsARestartAndAHandover) {
+  Upgraded s;
+  s.start();
+  const std::string out = "/v1/endpoints/s-1/suspend";
+  const std::string back = "/v1/endpoints/s-1/resume";
+  EXPECT_EQ(under(*s.program, out, claim("7")), "200");
+  const auto refused = [&](const Program& program, const std::string& token) {
+    EXPECT_EQ(under(program, back, claim(token)), "409 lease_fenced") << token;
+    await_figure(program, "proxy_targets_disabled 1");  // and nothing was done
+  };
+  refused(*s.program, "6");
+  EXPECT_EQ(under(*s.program, out, claim("7")), "200");                 // the same holder again
+  EXPECT_EQ(under(*s.program, out, claim("1", "task/backup")), "200");  // another lease
+  s.program->kill();
+  s.program->start();
+  refused(*s.program, "6");
+  s.upgrade();
+  EXPECT_EQ(s.program->wait(), 0);
+  refused(*s.next, "6");
+  EXPECT_EQ(under(*s.next, back, claim("18446744073709551615")), "200");
+  EXPECT_EQ(under(*s.next, out, claim("7")), "409 lease_fenced");
+  EXPECT_EQ(s.next->operate("POST", out), std::make_pair(200, std::string("suspended\n")));  // by hand
+}
+
+TEST(Fence, IsRaisedWithoutDoingMore) {
+  Operated s;
+  s.start();
+  const std::string raised = "{\"lease\":\"task/call\",\"token\":9}\n";
+  EXPECT_EQ(s.program->operate("POST", "/v1/relay/drain", claim("9") + kOnly), std::make_pair(200, raised));
+  EXPECT_EQ(s.call("GET", "/v1/readyz"), 200);
+  EXPECT_EQ(under(*s.program, "/v1/relay/drain", claim("8")), "409 lease_fenced");
+  EXPECT_EQ(s.call("GET", "/v1/readyz"), 200);
+  EXPECT_EQ(under(*s.program, "/v1/relay/fence", claim("10")), "200");
+  EXPECT_EQ(under(*s.program, "/v1/relay/fence", claim("9")), "409 lease_fenced");
+  EXPECT_EQ(under(*s.program, "/v1/relay/drain", claim("10")), "200");
+  EXPECT_EQ(s.call("GET", "/v1/readyz"), 503);
+}
+
+TEST(Fence, RefusesAClaimThatIsNoneOrHalfOfOne) {
+  Operated s;
+  s.start();
+  const std::string lease = "X-Lease: a\r\n";
+  const std::string token = "X-Lease-Token: 1\r\n";
+  std::vector<std::string> bad = {
+      lease, token, kOnly, lease + kOnly, lease + token + token, lease + claim("1")};
+  for (const char* text : {"", "0", "-1", "+1", "1.0", "0x1", "one", "1 2", "18446744073709551616"}) {
+    bad.push_back(claim(text));
+  }
+  for (const auto& name : {std::string(), std::string(201, 'a'), std::string("\xff")}) {
+    bad.push_back(claim("1", name));
+  }
+  for (const char* only : {"", "0", "true"}) {
+    bad.push_back(claim("1") + "X-Lease-Fence-Only: " + only + "\r\n");
+  }
+  for (const std::string& fields : bad) {
+    EXPECT_EQ(under(*s.program, "/v1/relay/drain", fields), "400 lease_unreadable") << fields;
+  }
+  EXPECT_EQ(under(*s.program, "/v1/relay/fence", ""), "400 lease_unreadable");
+  EXPECT_EQ(s.call("GET", "/v1/readyz"), 200);  // none of this drained it
+}
+
+TEST(Fence, RemembersSoManyLeases) {
+  Operated s;
+  s.start();
+  const auto raise = [&](const std::string& lease) {
+    return under(*s.program, "/v1/relay/fence", claim("2", lease));
+  };
+  for (int i = 0; i < 64; ++i) ASSERT_EQ(raise("task/" + std::to_string(i)), "200") << i;
+  EXPECT_EQ(raise("task/64"), "507 lease_names_full");
+  EXPECT_EQ(raise("task/0"), "200");
+}
+
+// Nothing may be done under a token that the next process would not know.
+TEST(Fence, DoesNothingWhereTheTokenCannotBeKept) {
+  Operated s;
+  s.program.emplace(s.config);
+  rlimit before{};
+  ::getrlimit(RLIMIT_FSIZE, &before);
+  const rlimit none{0, before.rlim_max};
+  std::signal(SIGXFSZ, SIG_IGN);
+  ::setrlimit(RLIMIT_FSIZE, &none);  // for the program
+  s.program->start();
+  ::setrlimit(RLIMIT_FSIZE, &before);
+  for (int i = 0; i < 2; ++i) {
+    EXPECT_EQ(under(*s.program, "/v1/relay/drain", claim("3")), "507 fence_not_kept");
+    EXPECT_EQ(s.call("GET", "/v1/readyz"), 200);
+  }
+  EXPECT_EQ(s.call("POST", "/v1/relay/drain"), 200);
+}
+
 // ---- New settings ----
 
 // Waits until a class is taken or not: a signal arrives some time after it is sent.
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -327,9 +327,10 @@
   });
 }
 
-std::pair<int, std::string> Program::operate(const std::string& method, const std::string& target) const {
+std::pair<int, std::string> Program::operate(const std::string& method, const std::string& target,
+                                             const std::string& fields) const {
   Socket socket = operators();
-  socket.send(method + " " + target + " HTTP/1.1\r\nHost: relay\r\nContent-Length: 0\r\n\r\n");
+  socket.send(method + " " + target + " HTTP/1.1\r\nHost: relay\r\nContent-Length: 0\r\n" + fields + "\r\n");
   const auto answer = read_request(socket);
   if (!answer || !socket.ended()) return {0, ""};  // one call per connection
   return {std::stoi(answer->first.substr(answer->first.find(' ') + 1)), answer->body};
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -136,7 +136,8 @@
   Socket client() const { return Socket::connect(port_); }
   uint16_t port() const { return port_; }
   // One call on the operators' address, as it stands in the configuration; the status, and what came with it.
-  std::pair<int, std::string> operate(const std::string& method, const std::string& target) const;
+  std::pair<int, std::string> operate(const std::string& method, const std::string& target,
+                                      const std::string& fields = "") const;
   Socket operators() const { return Socket::connect(control_port_); }
   uint16_t operators_port() const { return control_port_; }
   bool logged(const std::string& event);  // waits for its line, behind those asked for before
