Registry: a table that began anew waits a whole longest TTL under each new leader

Need: the wait of a new table ended by the clock of a new leader, which may be ahead of the one by which it began: then a holder that knew the table before still acted while another got the lease. Today's service continues the log's time, so this was a gap in the table alone.

Change: lead() renews the wait as it renews each grant; a wait that is over is forgotten at that point of the log, so that a later leader does not begin it again.

--- a/registry/leases.cpp
+++ b/registry/leases.cpp
@@ -51,6 +51,7 @@
 }
 
 void Leases::tick(Token at, Millis now) {
+  if (now >= grants_from_ms_) grants_from_ms_ = 0;
   if (now < next_ms_) return;
   next_ms_ = kNever;
   for (auto& [name, lease] : leases_) {
@@ -75,6 +76,8 @@
     if (!lease.holder.empty()) whole(lease.until_ms, lease.ttl_ms);
     for (Lease::Waiter& w : lease.line) whole(w.until_ms, w.ttl_ms);
   }
+  // A wait that was not over by the clock before is not over because this one is ahead.
+  if (grants_from_ms_ != 0) whole(grants_from_ms_, limits_.most_ttl_ms);
 }
 
 void Leases::begin(Millis now) {
