Registry: leases over HTTP, fenced writes, and errors with a code and an action

Holders and operators need the calls of leases; acts of a holder of before must not land; and a leader that was stopped must not end leases at which nobody could knock. New: /api/leases, X-Lease and X-Lease-Token on every write, the log's clock that moves by two ticks at most in one step and begins from the log alone, kLead before all else that a leader writes, figures, leases in status, hand-over.

Each failure is a type with a stable code, what happened, what can be done and whether it may have an effect. The longest TTL is the leader's, by the log.

Three tests with one member. Seen to fail without: the clamp of the clock (the lease lapses over 2 s of a stopped leader), kLead, the fence's headers.

--- a/cli/command.h
+++ b/cli/command.h
@@ -23,6 +23,7 @@
   void add_to(CLI::App& command);
   std::vector<std::string> addresses() const;  // throws net::BadInput
   registry::Client client() const;
+  bool table() const;  // as print() writes: a table, or JSON
   // The rows, the first one being their head, on a terminal; else the JSON.
   void print(const nlohmann::json& value, const std::vector<std::vector<std::string>>& rows) const;
 };
--- a/cli/registry.cpp
+++ b/cli/registry.cpp
@@ -1,4 +1,4 @@
-// turntally registry: run, status, members, add, remove, hand-over, backup, restore.
+// turntally registry: run, status, members, add, remove, hand-over (of a lease), backup, restore.
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -30,6 +30,8 @@
   uint64_t member = 0;
   std::string raft;
   std::string http;
+  std::string lease;
+  std::string to;
 };
 
 int run(const Options& options) {
@@ -96,9 +98,43 @@
     out.push_back(std::move(one));
   }
   where.print(out, rows);
+  if (!where.table()) return all ? kHeld : kBroken;
+  // As the member knows them that has applied most.
+  json leases = json::array();
+  uint64_t newest = 0;
+  for (const json& one : out) {
+    if (one.value("applied", uint64_t{0}) < newest || !one.contains("leases")) continue;
+    newest = one["applied"];
+    leases = one["leases"];
+  }
+  rows = {{"LEASE", "HOLDER", "TOKEN", "LEFT", "WAITING", "ASKED FOR", "BEFORE"}};
+  for (const json& l : leases) {
+    const json before = l["past"].empty() ? json() : l["past"].back();
+    rows.push_back({l["name"], l["holder"] == "" ? "-" : l["holder"], l["token"].dump(),
+                    l["left_ms"].dump() + " ms", std::to_string(l["waiting"].size()), l["asked_for"],
+                    before.is_null()
+                        ? ""
+                        : before["holder"].get<std::string>() + " " + before["how"].get<std::string>()});
+  }
+  if (rows.size() > 1) {
+    std::printf("\n");
+    where.print(leases, rows);
+  }
   return all ? kHeld : kBroken;
 }
 
+// Asks the holder to let go. Under the token that it has now: asked twice, it moves once.
+int hand_over(const Options& options) {
+  Client client = options.where.client();
+  const std::string path = "/api/leases/" + options.lease;
+  const json lease = json::parse(client.get({"GET", path + "?consistent=1", {}, ""}));
+  const json body = {{"call", "hand_over"}, {"to", options.to}, {"token", lease["token"]}};
+  client.get({"POST", path, {}, body.dump()});
+  std::fprintf(stderr, "%s is asked to hand '%s' over to %s\n", lease["holder"].get<std::string>().c_str(),
+               options.lease.c_str(), options.to.empty() ? "the next in line" : options.to.c_str());
+  return kHeld;
+}
+
 int members(const RegistryOptions& where) {
   const json s = json::parse(where.client().get({"GET", "/registry/status", {}, ""}));
   std::vector<std::vector<std::string>> rows = {{"MEMBER", "RAFT", "HTTP", "VOTES", "LEADS"}};
@@ -140,9 +176,11 @@
   return Client(std::move(members));
 }
 
+bool RegistryOptions::table() const { return !json && ::isatty(1) != 0; }
+
 void RegistryOptions::print(const nlohmann::json& value,
                             const std::vector<std::vector<std::string>>& rows) const {
-  if (json || ::isatty(1) == 0) return void(std::printf("%s\n", value.dump(2).c_str()));
+  if (!table()) return void(std::printf("%s\n", value.dump(2).c_str()));
   std::vector<size_t> width;
   for (const auto& row : rows) {
     width.resize(std::max(width.size(), row.size()));
@@ -204,6 +242,11 @@
     std::fprintf(stderr, "member %llu is out\n", static_cast<unsigned long long>(options.member));
     return kHeld;
   }));
+  CLI::App* hand =
+      command("hand-over", "Ask a lease's holder to hand it to another one, who must wait for it.",
+              "hand-over task/mirror --at 127.0.0.1:7101", [] { return hand_over(options); });
+  hand->add_option("LEASE", options.lease, "its name")->required();
+  hand->add_option("--to", options.to, "who is to have it; else the next in line");
   command("backup", "Write the whole list to standard output.", "backup --at 127.0.0.1:7101 > list.json", [] {
     std::printf("%s", options.where.client().get({"GET", "/registry/backup", {}, ""}).c_str());
     return kHeld;
--- a/registry/client.cpp
+++ b/registry/client.cpp
@@ -24,8 +24,9 @@
 
 std::string words_of(const net::HttpReply& reply) {
   const json body = json::parse(reply.body, nullptr, false);
-  return body.is_object() && body.contains("error") ? body["error"].get<std::string>()
-                                                    : "status " + std::to_string(reply.status);
+  if (!body.is_object() || !body.contains("error")) return "status " + std::to_string(reply.status);
+  const std::string action = body.value("action", "");
+  return body["error"].get<std::string>() + (action.empty() ? "" : "; " + action);
 }
 
 }  // namespace
--- a/registry/config.cpp
+++ b/registry/config.cpp
@@ -55,6 +55,7 @@
   }
   out.tick_ms = file.integer("tick_ms", 500, 50, 10'000);
   out.write_ms = file.integer("write_ms", 5000, 100, 60'000);
+  out.lease_most_ttl_ms = file.integer("lease_most_ttl_ms", 30'000, 200, 3'600'000);
   out.free_mb = file.integer("free_mb", 64, 0, 1'000'000);
   for (const net::Section& one : file.tables("dial")) {
     const std::string from = address(one, "raft", std::nullopt);
--- a/registry/config.h
+++ b/registry/config.h
@@ -26,6 +26,7 @@
   unsigned heartbeat_ms = 50;
   int tick_ms = 500;                         // how often the leader writes the time
   int write_ms = 5000;                       // a write that is not through by then is answered as unknown
+  int lease_most_ttl_ms = 30'000;            // of the leader; a new registry grants nothing for so long
   int free_mb = 64;                          // with less than this on its disk a member takes no writes
   std::map<std::string, std::string> dial;   // of other members: to be called at another address
   std::optional<net::tcp::endpoint> mirror;  // the discovery whose list is followed
--- a/registry/service.cpp
+++ b/registry/service.cpp
@@ -38,13 +38,24 @@
   return net::hex((high << 32) ^ random());
 }
 
-HttpReply failure(int status, const std::string& error, const char* outcome = "none") {
-  HttpReply reply{
-      status, json({{"error", error}, {"outcome", outcome}}).dump() + "\n", "application/json", {}};
-  if (status == 503) reply.fields["Retry-After"] = "1";
+// `more`: goes into the body as well.
+HttpReply failure(const Error& error, json more = json::object()) {
+  more["code"] = error.code();
+  more["error"] = error.what();
+  more["action"] = error.action();
+  more["outcome"] = error.unknown() ? "unknown" : "none";
+  HttpReply reply{error.status(), more.dump() + "\n", "application/json", {}};
+  if (error.status() == 503) reply.fields["Retry-After"] = "1";
   return reply;
 }
 
+// Why the log has not taken a proposal.
+Error error_of(const Result& result) {
+  if (result.fate == Fate::kNotLeader) return NoLeader(result.why);
+  if (result.fate == Fate::kRefused) return ProposalRefused(result.why);
+  return WriteUnknown(result.why);
+}
+
 std::optional<uint64_t> number_of(const std::string& text) {
   uint64_t out = 0;
   const auto end = text.data() + text.size();
@@ -85,6 +96,58 @@
   return out;
 }
 
+constexpr std::array kLeaseCalls = {"campaign", "renew", "release", "hand_over", "record"};
+
+LeaseCall call_of(const json& body, const std::string& name, const LeaseLimits& limits) {
+  LeaseCall out;
+  const auto kind = std::find(kLeaseCalls.begin(), kLeaseCalls.end(), field<std::string>(body, "call", ""));
+  if (kind == kLeaseCalls.end()) {
+    throw std::invalid_argument("call must be campaign, renew, release, hand_over or record");
+  }
+  out.kind = static_cast<LeaseCall::Kind>(kind - kLeaseCalls.begin());
+  out.name = name;
+  out.holder = field<std::string>(body, "holder", "");
+  out.ttl_ms = field<Millis>(body, "ttl_ms", 0);
+  out.token = field<Token>(body, "token", 0);
+  out.to = field<std::string>(body, "to", "");
+  out.record = field<std::string>(body, "record", "");
+  if (name.size() > 200) throw std::invalid_argument("a lease's name must have 1 to 200 characters");
+  if (out.kind != LeaseCall::Kind::kHandOver && (out.holder.empty() || out.holder.size() > 200)) {
+    throw std::invalid_argument("holder must have 1 to 200 characters");
+  }
+  if (out.kind == LeaseCall::Kind::kCampaign &&
+      (out.ttl_ms < limits.least_ttl_ms || out.ttl_ms > limits.most_ttl_ms)) {
+    throw std::invalid_argument("ttl_ms must be " + std::to_string(limits.least_ttl_ms) + " to " +
+                                std::to_string(limits.most_ttl_ms));
+  }
+  if (out.record.size() > limits.record) {
+    throw std::invalid_argument("record: over " + std::to_string(limits.record) + " bytes");
+  }
+  return out;
+}
+
+json json_of(const Lease& lease, Millis now) {
+  json waiting = json::array();
+  for (const Lease::Waiter& w : lease.line) waiting.push_back(w.holder);
+  json past = json::array();
+  for (const Lease::Past& p : lease.past) {
+    past.push_back({{"holder", p.holder},
+                    {"token", p.token},
+                    {"from_ms", p.from_ms},
+                    {"to_ms", p.to_ms},
+                    {"how", p.how}});
+  }
+  return {{"name", lease.name},
+          {"holder", lease.holder},
+          {"token", lease.token},
+          {"ttl_ms", lease.ttl_ms},
+          {"left_ms", lease.holder.empty() ? 0 : std::max<Millis>(lease.until_ms - now, 0)},
+          {"waiting", waiting},
+          {"past", past},
+          {"asked_for", lease.asked_for},
+          {"record_bytes", lease.record.size()}};
+}
+
 std::string rest_of(const std::string& path, const std::string& prefix) {
   return path.size() > prefix.size() && path.starts_with(prefix) ? path.substr(prefix.size()) : "";
 }
@@ -320,7 +383,13 @@
   heard_ = net::steady_now();
   const Revision before = state_.revision();
   const Revision compacted = state_.compacted();
-  state_.apply(index, command);
+  const Leases::Counts leases = state_.leases().counts();
+  const registry::Answer answer = state_.apply(index, command);
+  const Leases::Counts& after = state_.leases().counts();
+  figures_.leases.granted += after.granted - leases.granted;
+  figures_.leases.expired += after.expired - leases.expired;
+  figures_.leases.renewed += after.renewed - leases.renewed;
+  figures_.leases.fenced += after.fenced - leases.fenced + (answer.kind == registry::Answer::Kind::kFenced);
   if (state_.compacted() != compacted) ++figures_.compactions;
   if (state_.revision() != before) hub_->changed();
 }
@@ -332,13 +401,21 @@
     if (now.leader != 0) ++figures_.leader_changes;
     log::info("leader", "id", now.leader, "term", now.term, "role", name_of(now.role));
   }
-  if (!leads() || before.role == Standing::Role::kLeader) return;
-  lead_from_ = net::steady_now();
-  lead_from_ms_ = state_.now();
+  if (!leads() || (before.role == Standing::Role::kLeader && before.term == now.term)) return;
+  // Of the log alone: what this member read as a leader before may be ahead of what others did since.
+  clock_us_ = state_.now() * 1000;
+  read_ = net::steady_now();
+  lead_told_ = false;
   tick();
 }
 
-Millis Service::now_ms() const { return lead_from_ms_ + (net::steady_now() - lead_from_) / 1000; }
+// A leader that was stopped, or whose clock has jumped, must not let leases lapse in one step: while it was
+// away no renewal could reach it. Slower than true time is safe, faster never.
+Millis Service::now_ms() {
+  const net::Time now = net::steady_now();
+  clock_us_ += std::clamp<net::Time>(now - std::exchange(read_, now), 0, 2000 * config_.tick_ms);
+  return clock_us_ / 1000;
+}
 
 int64_t Service::heard_ms() const { return heard_ == 0 ? -1 : (net::steady_now() - heard_) / 1000; }
 
@@ -350,6 +427,13 @@
   });
   if (!leads() || in_flight_ >= kMostInFlight) return;
   const auto ignored = [](const Result&) {};
+  if (!lead_told_) {  // before all else that this leader writes
+    Command lead{Command::Kind::kLead, now_ms(), "", {}, "", 0};
+    lead.number = static_cast<uint64_t>(config_.lease_most_ttl_ms);
+    replica_->propose(lead, [this, term = standing_.term](const Result& result) {
+      lead_told_ = lead_told_ || (result.fate == Fate::kDone && term == standing_.term);
+    });
+  }
   if (state_.identity().empty()) {
     Command found{Command::Kind::kFound, now_ms(), "", {}, new_identity(), 0};
     found.number = static_cast<uint64_t>(net::wall_now() / 1000);
@@ -387,26 +471,26 @@
   return out;
 }
 
-std::string Service::refusal() const {
-  if (replica_ == nullptr) return "this member is not in the registry's log yet";
-  if (!trouble_.empty()) return "this member's log is closed: " + trouble_;
+std::optional<Error> Service::refusal() const {
+  if (replica_ == nullptr) return NotInLog();
+  if (!trouble_.empty()) return LogClosed("this member's log is closed: " + trouble_);
   struct statvfs disk {};
   if (::statvfs(config_.folder.c_str(), &disk) == 0 &&
       static_cast<double>(disk.f_bavail) * static_cast<double>(disk.f_frsize) < 1e6 * config_.free_mb) {
-    return "less than " + std::to_string(config_.free_mb) + " MB free in " + config_.folder;
+    return NoRoom("less than " + std::to_string(config_.free_mb) + " MB free in " + config_.folder);
   }
-  return "";
+  return {};
 }
 
 void Service::at_leader(const HttpRequest& request, const Answer& answer, const std::function<void()>& here) {
   if (leads()) {
-    if (const std::string why = refusal(); !why.empty()) return answer->reply(failure(507, why));
+    if (const auto why = refusal()) return answer->reply(failure(*why));
     return here();
   }
   const std::string leader = standing_.leader == 0 ? "" : http_of(standing_.leader % kNumbers);
   if (leader.empty() || leader == config_.self().http) {
-    const std::string why = refusal();
-    return answer->reply(failure(why.empty() ? 503 : 507, why.empty() ? "no leader is known" : why));
+    const auto why = refusal();
+    return answer->reply(failure(why ? *why : NoLeader("no leader is known")));
   }
   ++figures_.redirected;
   HttpReply reply = head();
@@ -428,13 +512,84 @@
   }
 };
 
+// What a lease's call has come to, for who asked.
+HttpReply Service::lease_reply(const LeaseCall& call, const LeaseAnswer& said, Revision revision) const {
+  json body = {{"token", said.token}, {"holder", said.holder}, {"revision", revision}};
+  const std::string name = "'" + call.name + "'";
+  switch (said.kind) {
+    case LeaseAnswer::Kind::kFenced:
+      return failure(
+          LeaseFenced(call.token == 0 ? "'" + call.holder + "' neither holds " + name + " nor waits"
+                                      : "token " + std::to_string(call.token) + " of " + name +
+                                            " is not the grant that stands"),
+          body);
+    case LeaseAnswer::Kind::kUnknown:
+      if (said.holder.empty()) return failure(LeaseUnknown("nobody holds " + name), body);
+      return failure(LeaseUnknown(call.to.empty() ? "nobody waits for " + name
+                                                  : "'" + call.to + "' does not wait for " + name),
+                     body);
+    case LeaseAnswer::Kind::kRefused: {
+      body["wait_ms"] = said.wait_ms;
+      HttpReply out = failure(
+          LeaseRefused(said.wait_ms == 0     ? "a bound of " + name + " is passed"
+                       : said.holder.empty() ? "nothing is granted yet: holders of before may still act"
+                                             : "too many wait for " + name),
+          body);
+      out.fields["Retry-After"] = std::to_string(std::max<Millis>(1, (said.wait_ms + 999) / 1000));
+      return out;
+    }
+    case LeaseAnswer::Kind::kHeld:
+    case LeaseAnswer::Kind::kWaits:
+      break;
+  }
+  HttpReply out = head();
+  body["outcome"] = said.kind == LeaseAnswer::Kind::kHeld ? "held" : "waits";
+  body["place"] = said.place;
+  body["asked_back"] = said.asked_back;
+  body["record"] = said.record;
+  out.body = body.dump() + "\n";
+  return out;
+}
+
+HttpReply Service::reply_of(const Command& command, const registry::Answer& said) const {
+  if (said.lease) return lease_reply(command.lease, *said.lease, said.revision);
+  json body = {{"revision", said.revision}, {"identity", state_.identity()}};
+  if (said.kind != registry::Answer::Kind::kDone) body["id"] = said.id;
+  HttpReply out = head();
+  switch (said.kind) {
+    case registry::Answer::Kind::kConflict:
+      return failure(RevisionConflict(said.id), body);
+    case registry::Answer::Kind::kUnknown:
+      return failure(NotRegistered(said.id), body);
+    case registry::Answer::Kind::kFenced:
+      return failure(LeaseFenced("token " + std::to_string(command.fence_token) + " of '" + said.id +
+                                 "' is not the grant that stands"),
+                     {{"token", said.revision}});
+    case registry::Answer::Kind::kDone:
+      break;
+  }
+  out.body = body.dump() + "\n";
+  return out;
+}
+
 void Service::write(const HttpRequest& request, const Answer& answer, Command command) {
-  if (const auto it = request.fields.find("idempotency-key"); it != request.fields.end()) {
-    if (it->second.size() > 200) return answer->reply(failure(400, "Idempotency-Key: over 200 characters"));
-    command.request = it->second;
+  const auto named = [&](const char* key) {
+    const auto it = request.fields.find(key);
+    return it == request.fields.end() ? std::string() : it->second;
+  };
+  // A lease's call is safe to repeat, and its answer is that of the moment.
+  if (command.kind != Command::Kind::kLease) {
+    command.request = named("idempotency-key");
+    if (command.request.size() > 200) throw std::invalid_argument("Idempotency-Key: over 200 characters");
+    command.fence = named("x-lease");
+    const auto token = number_of(named("x-lease-token"));
+    if (command.fence.empty() ? request.fields.contains("x-lease-token") : !token || *token == 0) {
+      throw std::invalid_argument("X-Lease: needs an X-Lease-Token that is a number, and it X-Lease");
+    }
+    command.fence_token = token.value_or(0);
   }
   at_leader(request, answer, [&] {
-    if (in_flight_ >= kMostInFlight) return answer->reply(failure(503, "too many writes are under way"));
+    if (in_flight_ >= kMostInFlight) return answer->reply(failure(Busy()));
     ++in_flight_;
     command.now_ms = now_ms();
     auto write = std::make_shared<Write>(Write{answer, boost::asio::steady_timer(io_)});
@@ -442,41 +597,22 @@
     write->late.async_wait([this, write](const boost::system::error_code& error) {
       if (error || write->answered) return;
       ++figures_.unknown;
-      write->reply(
-          failure(503, "no majority of the members answered in " + std::to_string(config_.write_ms) + " ms",
-                  "unknown"));
+      write->reply(failure(WriteUnknown("no majority of the members answered in " +
+                                        std::to_string(config_.write_ms) + " ms")));
     });
-    replica_->propose(command, [this, write](const Result& result) {
+    replica_->propose(command, [this, write, command](const Result& result) {
       --in_flight_;
-      HttpReply reply = head();
-      switch (result.fate) {
-        case Fate::kNotLeader:
-          return write->reply(failure(503, result.why));
-        case Fate::kRefused:
-          return write->reply(failure(507, result.why));
-        case Fate::kUnknown:
-          ++figures_.unknown;
-          return write->reply(failure(503, result.why, "unknown"));
-        case Fate::kDone:
-          break;
+      if (result.fate != Fate::kDone) {
+        figures_.unknown += result.fate == Fate::kUnknown ? 1 : 0;
+        return write->reply(failure(error_of(result)));
       }
       const double took = static_cast<double>(net::steady_now() - write->begun) / 1e6;
       const auto at = std::lower_bound(kCommitBounds.begin(), kCommitBounds.end(), took);
       ++figures_.commit_buckets[static_cast<size_t>(at - kCommitBounds.begin())];
       figures_.commit_sum_s += took;
       ++figures_.writes;
-      json body = {{"revision", result.answer.revision}, {"identity", state_.identity()}};
-      if (result.answer.kind != registry::Answer::Kind::kDone) {
-        ++figures_.refused;
-        const bool conflict = result.answer.kind == registry::Answer::Kind::kConflict;
-        reply.status = conflict ? 412 : 404;
-        body["id"] = result.answer.id;
-        body["outcome"] = "none";
-        body["error"] = conflict ? "'" + result.answer.id + "' has another revision"
-                                 : "'" + result.answer.id + "' is not registered";
-      }
-      reply.body = body.dump() + "\n";
-      write->reply(std::move(reply));
+      if (result.answer.kind != registry::Answer::Kind::kDone) ++figures_.refused;
+      write->reply(reply_of(command, result.answer));
     });
   });
 }
@@ -503,7 +639,7 @@
     const auto it = request.query.find(key);
     return it == request.query.end() ? std::string() : it->second;
   };
-  if (state_.identity().empty()) return answer->reply(failure(503, "this member has no list yet"));
+  if (state_.identity().empty()) return answer->reply(failure(NoList()));
   if (query("stream") == "1") {
     HttpReply reply = head();
     reply.type = "application/x-ndjson";
@@ -515,16 +651,48 @@
     reply.body = *hub_->whole();
     answer->reply(std::move(reply));
   };
-  if (query("consistent") != "1") return whole();
+  read(request, answer, whole);
+}
+
+// At once; with consistent=1 at the leader, after all that has been written.
+void Service::read(const HttpRequest& request, const Answer& answer, std::function<void()> then) {
+  const auto it = request.query.find("consistent");
+  if (it == request.query.end() || it->second != "1") return then();
   at_leader(request, answer, [&] {
     ++figures_.consistent;
-    barrier([answer, whole](const Result& result) {
-      if (result.fate == Fate::kDone) return whole();
-      answer->reply(failure(503, result.why));
+    barrier([answer, then = std::move(then)](const Result& result) {
+      if (result.fate == Fate::kDone) return then();
+      answer->reply(failure(NoLeader(result.why)));
     });
   });
 }
 
+void Service::leases(const HttpRequest& request, const Answer& answer) {
+  const std::string name = rest_of(request.path, "/api/leases/");
+  if (request.method == "POST" && !name.empty()) {
+    Command command{Command::Kind::kLease, 0, "", {}, "", 0};
+    command.lease = call_of(parsed(request.body), name, state_.leases().limits());
+    return write(request, answer, std::move(command));
+  }
+  if (request.method != "GET") return answer->reply(failure(NoSuchMethod(request.method)));
+  ++figures_.reads;
+  read(request, answer, [this, answer, name] {
+    HttpReply reply = head();
+    const auto& all = state_.leases().all();
+    json body = {{"leases", json::array()}};
+    if (name.empty()) {
+      for (const auto& [id, lease] : all) body["leases"].push_back(json_of(lease, state_.now()));
+    } else if (const auto it = all.find(name); it != all.end()) {
+      body = json_of(it->second, state_.now());
+      body["record"] = it->second.record;
+    } else {
+      return answer->reply(failure(LeaseUnknown("nobody has held '" + name + "'")));
+    }
+    reply.body = body.dump() + "\n";
+    answer->reply(std::move(reply));
+  });
+}
+
 void Service::targets(const HttpRequest& request, const Answer& answer) {
   const std::string id = rest_of(request.path, "/api/targets/");
   if (id.empty() && request.method == "GET") return list(request, answer);
@@ -548,13 +716,13 @@
     command.items.push_back({id, {}, match_of(request)});
   } else if (!id.empty() && request.method == "GET") {
     const auto it = state_.entries().find(id);
-    if (it == state_.entries().end()) return answer->reply(failure(404, "'" + id + "' is not listed"));
+    if (it == state_.entries().end()) return answer->reply(failure(NotListed(id)));
     HttpReply reply = head();
     reply.fields["ETag"] = "\"" + std::to_string(it->second.revision) + "\"";
     reply.body = json_of(it->second).dump() + "\n";
     return answer->reply(std::move(reply));
   } else {
-    return answer->reply(failure(405, request.method + " is not known here"));
+    return answer->reply(failure(NoSuchMethod(request.method)));
   }
   write(request, answer, std::move(command));
 }
@@ -562,11 +730,11 @@
 // Endpoints that say themselves that they are there: PUT, then POST again and again within the TTL.
 void Service::registrations(const HttpRequest& request, const Answer& answer) {
   const std::string id = rest_of(request.path, "/api/registrations/");
-  if (id.empty()) return answer->reply(failure(404, "no such call"));
+  if (id.empty()) return answer->reply(failure(NoSuchCall(request.path)));
   if (request.method == "POST") {
     return write(request, answer, {Command::Kind::kRenew, 0, "", {{id, {}, {}}}, "", 0});
   }
-  if (request.method != "PUT") return answer->reply(failure(405, request.method + " is not known here"));
+  if (request.method != "PUT") return answer->reply(failure(NoSuchMethod(request.method)));
   const Entry entry = entry_of(parsed(request.body), id);
   if (entry.ttl_ms <= 0) throw std::invalid_argument("ttl_ms: a registration needs one");
   write(request, answer, {Command::Kind::kRegister, 0, "", {{id, entry, {}}}, "", 0});
@@ -588,13 +756,13 @@
   const bool known = state_.members().contains(number) ||
                      std::any_of(standing_.members.begin(), standing_.members.end(),
                                  [&](const Peer& peer) { return peer.id % kNumbers == number; });
-  if (!known) return answer->reply(failure(404, "member " + std::to_string(number) + " was not added"));
+  if (!known) return answer->reply(failure(MemberUnknown(number)));
   drop(number, [this, number, address, answer](const Result& dropped) {
-    if (dropped.fate != Fate::kDone) return answer->reply(failure(503, dropped.why));
+    if (dropped.fate != Fate::kDone) return answer->reply(failure(MembersChange(dropped.why)));
     // Never used before: the log only grows.
     const uint64_t id = number + kNumbers * (standing_.last + 1);
     replica_->add(id, address.raft, [this, id, address, answer](const Result& added) {
-      if (added.fate != Fate::kDone) return answer->reply(failure(503, added.why));
+      if (added.fate != Fate::kDone) return answer->reply(failure(MembersChange(added.why)));
       log::info("member_added", "id", id, "raft", address.raft);
       replica_->propose({Command::Kind::kMember, now_ms(), "", {}, address.http, id % kNumbers},
                         [answer, id](const Result&) {
@@ -607,7 +775,7 @@
 void Service::members(const HttpRequest& request, const Answer& answer) {
   const auto number = number_of(rest_of(request.path, "/registry/members/"));
   if (!number || *number == 0 || *number >= kNumbers) {
-    return answer->reply(failure(400, "a member has a number from 1 to 999"));
+    return answer->reply(failure(BadRequest("a member has a number from 1 to 999")));
   }
   if (request.method == "PUT" || request.method == "POST") {
     const json body = parsed(request.body);
@@ -620,19 +788,19 @@
     net::parse_address(address.raft);
     return at_leader(request, answer, [&] { join(*number, address, answer); });
   }
-  if (request.method != "DELETE") return answer->reply(failure(405, request.method + " is not known here"));
+  if (request.method != "DELETE") return answer->reply(failure(NoSuchMethod(request.method)));
   at_leader(request, answer, [&] {
     if (standing_.leader % kNumbers == *number) {
-      if (standing_.members.size() < 2) return answer->reply(failure(409, "it is the last member"));
+      if (standing_.members.size() < 2) return answer->reply(failure(LastMember()));
       return replica_->transfer(0, [answer](const Result& result) {
         answer->reply(
-            failure(503, result.fate == Fate::kDone
-                             ? "the member leads: it has handed the lead over, ask again"
-                             : "the member leads, and its lead cannot be handed over: " + result.why));
+            failure(LeadMoves(result.fate == Fate::kDone
+                                  ? "the member leads: it has handed the lead over, ask again"
+                                  : "the member leads, and its lead cannot be handed over: " + result.why)));
       });
     }
     drop(*number, [this, number = *number, request, answer](const Result& result) {
-      if (result.fate != Fate::kDone) return answer->reply(failure(503, result.why));
+      if (result.fate != Fate::kDone) return answer->reply(failure(MembersChange(result.why)));
       write(request, answer, {Command::Kind::kMember, 0, "", {}, "", number});
     });
   });
@@ -663,6 +831,8 @@
                        {"voter", peer.voter},
                        {"leader", peer.id == standing_.leader}});
   }
+  json leases = json::array();
+  for (const auto& [name, lease] : state_.leases().all()) leases.push_back(json_of(lease, state_.now()));
   return {{"member", config_.member},
           {"id", id_},
           {"role", name_of(standing_.role)},
@@ -679,7 +849,8 @@
           {"expiry_held", state_.held()},
           {"heard_ms", heard_ms()},
           {"watchers", hub_->watchers()},
-          {"refusal", refusal()},
+          {"refusal", refusal() ? refusal()->what() : ""},
+          {"leases", leases},
           {"members", members}};
 }
 
@@ -695,6 +866,19 @@
   one("entries", "gauge", state_.entries().size());
   one("registrations", "gauge", state_.registrations());
   one("expiry_held", "gauge", state_.held() ? 1 : 0);
+  uint64_t held = 0;
+  uint64_t waiting = 0;
+  for (const auto& [name, lease] : state_.leases().all()) {
+    held += lease.holder.empty() ? 0 : 1;
+    waiting += lease.line.size();
+  }
+  one("leases", "gauge", state_.leases().all().size());
+  one("leases_held", "gauge", held);
+  one("leases_waiting", "gauge", waiting);
+  one("leases_granted_total", "counter", figures_.leases.granted);
+  one("leases_expired_total", "counter", figures_.leases.expired);
+  one("leases_fenced_total", "counter", figures_.leases.fenced);
+  one("leases_renewals_total", "counter", figures_.leases.renewed);
   one("leads", "gauge", leads() ? 1 : 0);
   one("heard_seconds", "gauge", static_cast<double>(heard_ms()) / 1000);
   one("leader_changes_total", "counter", figures_.leader_changes);
@@ -727,10 +911,11 @@
   try {
     const std::string& path = request.path;
     if (path == "/api/targets" || path.starts_with("/api/targets/")) return targets(request, answer);
+    if (path == "/api/leases" || path.starts_with("/api/leases/")) return leases(request, answer);
     if (path.starts_with("/api/registrations/")) return registrations(request, answer);
     if (path.starts_with("/registry/members/")) return members(request, answer);
     if (path == "/registry/restore" && request.method == "POST") return restore(request, answer);
-    if (request.method != "GET") return answer->reply(failure(404, "no such call"));
+    if (request.method != "GET") return answer->reply(failure(NoSuchCall(request.path)));
     HttpReply reply = head();
     if (path == "/registry/status") {
       reply.body = status().dump() + "\n";
@@ -743,12 +928,12 @@
       reply.type = "text/plain; version=0.0.4";
       reply.body = metrics();
     } else {
-      return answer->reply(failure(404, "no such call"));
+      return answer->reply(failure(NoSuchCall(request.path)));
     }
     answer->reply(std::move(reply));
   } catch (const std::invalid_argument& error) {
     ++figures_.refused;
-    answer->reply(failure(400, error.what()));
+    answer->reply(failure(BadRequest(error.what())));
   }
 }
 
--- a/registry/service.h
+++ b/registry/service.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "config.h"
+#include "errors.h"
 #include "hub.h"
 #include "net/clock.h"
 #include "net/http.h"
@@ -49,6 +50,8 @@
   void drop(uint64_t number, std::function<void(const Result&)> then);
   void at_leader(const net::HttpRequest& request, const Answer& answer,
                  const std::function<void()>& here);  // here, or says where
+  void leases(const net::HttpRequest& request, const Answer& answer);
+  void read(const net::HttpRequest& request, const Answer& answer, std::function<void()> then);
   void barrier(std::function<void(const Result&)> then);
   void begin_barrier();
 
@@ -56,11 +59,13 @@
   void standing(const Standing& now);
   void tick();
   bool leads() const { return standing_.role == Standing::Role::kLeader; }
-  Millis now_ms() const;        // the time of the log, while this member leads
-  int64_t heard_ms() const;     // since this member last heard from a majority; -1: never
-  std::string refusal() const;  // why no write can be taken here; empty: it can
+  Millis now_ms();                       // a reading of the log's clock, while this member leads
+  int64_t heard_ms() const;              // since this member last heard from a majority; -1: never
+  std::optional<Error> refusal() const;  // why no write can be taken here
   std::string http_of(uint64_t number) const;
   net::HttpReply head() const;
+  net::HttpReply reply_of(const Command& command, const registry::Answer& said) const;
+  net::HttpReply lease_reply(const LeaseCall& call, const LeaseAnswer& said, Revision revision) const;
   nlohmann::json status() const;
   std::string metrics() const;
 
@@ -72,9 +77,10 @@
   uint64_t id_ = 0;      // this member's in the log; 0: not in it yet
   std::string trouble_;  // why the log is closed
   Standing standing_;
-  net::Time heard_ = 0;  // steady
-  Millis lead_from_ms_ = 0;
-  net::Time lead_from_ = 0;
+  net::Time heard_ = 0;     // steady
+  net::Time clock_us_ = 0;  // of the log, as this leader read it last,
+  net::Time read_ = 0;      // and when, steady
+  bool lead_told_ = false;  // the log has this leader's kLead
   size_t in_flight_ = 0;
   std::vector<std::function<void(const Result&)>> barrier_next_;
   bool barrier_out_ = false;
@@ -85,6 +91,7 @@
     uint64_t refused = 0;  // conflicts, and bad input
     uint64_t unknown = 0;  // writes whose fate was not known in time
     uint64_t redirected = 0;
+    Leases::Counts leases;  // as this member has applied the log
     uint64_t reads = 0;
     uint64_t consistent = 0;
     uint64_t leader_changes = 0;
--- a/tests/registry_play_test.cpp
+++ b/tests/registry_play_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <filesystem>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include "lab/linear.h"
 #include "lab/report.h"
@@ -202,9 +203,11 @@
     ASSERT_NE(::mkdtemp(folder_.data()), nullptr);
     const std::string host = "127.0." + std::to_string(::getpid() % 250 + 1) + ".9";
     http_ = net::parse_address(host + ":7101");
-    config_ = registry::read_config_text("f", "folder = \"" + folder_ +
-                                                  "\"\nfree_mb = 0\n[[members]]\nmember = 1\nraft = \"" +
-                                                  host + ":7201\"\nhttp = \"" + host + ":7101\"\n");
+    config_ = registry::read_config_text(
+        "f",
+        "folder = \"" + folder_ +
+            "\"\nfree_mb = 0\ntick_ms = 100\nlease_most_ttl_ms = 1000\n[[members]]\nmember = 1\nraft = \"" +
+            host + ":7201\"\nhttp = \"" + host + ":7101\"\n");
     service_ =
         std::make_unique<registry::Service>(io_, config_, [](const std::string& why) { FAIL() << why; });
     until([this] { return !service_->state().identity().empty(); });
@@ -322,6 +325,73 @@
   EXPECT_EQ(call("GET", "/api/targets").second.dump(), before);
 }
 
+TEST_F(OneMember, GivesALeaseToOneAndFencesTheWritesOfOthers) {
+  const auto ask = [&](const char* what, const std::string& holder, json more = json::object()) {
+    more["call"] = what;
+    more["holder"] = holder;
+    return call("POST", "/api/leases/task/x", more, {{"Idempotency-Key", "same"}});
+  };
+  const auto under = [](const json& token) {
+    return std::map<std::string, std::string>{{"X-Lease", "task/x"}, {"X-Lease-Token", token.dump()}};
+  };
+  const json ttl = {{"ttl_ms", 1000}};
+  const auto [early, refused] = ask("campaign", "a", ttl);  // the list has just begun
+  EXPECT_EQ(early, 409);
+  EXPECT_EQ(refused["code"], "lease_refused");
+  EXPECT_GT(refused["wait_ms"], 0);
+  json held;
+  until([&] { return (held = ask("campaign", "a", ttl).second)["outcome"] == "held"; });
+  EXPECT_EQ(held["holder"], "a");
+  EXPECT_EQ(ask("campaign", "b", ttl).second["place"], 1);
+  EXPECT_EQ(call("PUT", "/api/targets/a", kEntry, under(held["token"])).first, 200);
+  EXPECT_EQ(ask("hand_over", "", {{"to", "c"}}).second["code"], "lease_unknown");
+  EXPECT_EQ(ask("hand_over", "", {{"to", "b"}, {"token", held["token"]}}).first, 200);
+  EXPECT_TRUE(ask("renew", "a", held).second["asked_back"].get<bool>());
+  EXPECT_EQ(ask("record", "a", {{"token", held["token"]}, {"record", "7"}}).first, 200);
+  EXPECT_EQ(ask("release", "a", held).second["holder"], "b");
+  const json next = ask("campaign", "b", ttl).second;
+  EXPECT_EQ(next["record"], "7");
+  EXPECT_GT(next["token"], held["token"]);
+  const auto [status, fenced] = call("DELETE", "/api/targets/a", nullptr, under(held["token"]));
+  EXPECT_EQ(status, 409);
+  EXPECT_EQ(fenced["code"], "lease_fenced");
+  EXPECT_EQ(fenced["outcome"], "none");
+  EXPECT_NE(fenced["action"], "");
+  EXPECT_EQ(call("GET", "/api/targets/a").first, 200);
+  EXPECT_EQ(ask("renew", "a", held).second["code"], "lease_fenced");
+  EXPECT_EQ(call("DELETE", "/api/targets/a", nullptr, {{"X-Lease", "task/x"}}).second["code"], "bad_request");
+  EXPECT_EQ(ask("campaign", "b", {{"ttl_ms", 1001}}).first, 400);
+  EXPECT_EQ(call("GET", "/api/leases/none").second["code"], "lease_unknown");
+  EXPECT_EQ(call("GET", "/api/leases?consistent=1").second["leases"][0]["past"][0]["how"], "handed_over");
+  EXPECT_EQ(call("GET", "/registry/status").second["leases"][0]["holder"], "b");
+}
+
+// While the leader is stopped no renewal can reach it; to the log it was away for two ticks.
+TEST_F(OneMember, LetsNoLeaseLapseInOneStep) {
+  json held;
+  const json campaign = {{"call", "campaign"}, {"holder", "a"}, {"ttl_ms", 1000}};
+  until([&] {
+    held = call("POST", "/api/leases/l", campaign).second;
+    return held["outcome"] == "held";
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+  held["call"] = "renew";
+  EXPECT_EQ(call("POST", "/api/leases/l", held).second["outcome"], "held");
+}
+
+TEST_F(OneMember, GivesALeaseAWholeTtlOnceItLeadsAnew) {
+  const json campaign = {{"call", "campaign"}, {"holder", "a"}, {"ttl_ms", 1000}};
+  const auto lease = [this] { return service_->state().leases().all().at("l"); };
+  until([&] { return call("POST", "/api/leases/l", campaign).second["outcome"] == "held"; });
+  until([&] { return service_->state().now() >= lease().from_ms + 500; });
+  const registry::Millis before = service_->state().now();
+  service_.reset();
+  service_ = std::make_unique<registry::Service>(io_, config_, [](const std::string& why) { FAIL() << why; });
+  until([&] { return service_->state().now() > before; });
+  EXPECT_EQ(lease().holder, "a");
+  EXPECT_GE(lease().until_ms, before + 1000);
+}
+
 // A member whose state is not what the leader says it must be says so.
 TEST(Replica, TellsWhenItsStateIsNotTheLeaders) {
   std::string folder = ::testing::TempDir() + "registry-replica-XXXXXX";
