Registry: mirror another list, under a lease, beside entries of its own

A fleet whose list is elsewhere must be able to move to the registry step by step. Watches and status say how old a source is once it was not heard for 3 s, by the log's time.

A program that sends the whole list leaves mirrored entries alone. Of a mirrored entry an operator writes the phase only, or the source would be overruled until it next speaks of it.

--- a/cli/registry.cpp
+++ b/cli/registry.cpp
@@ -88,13 +88,19 @@
     one["reachable"] = true;
     const int64_t heard = s["heard_ms"];
     const std::string refusal = s["refusal"];
-    const bool well = refusal.empty() && heard >= 0 && heard < 3000;
+    int64_t silent = 0;
+    for (const json& source : s.value("sources", json::array())) {
+      silent = std::max(silent, source["age_ms"].get<int64_t>());
+    }
+    const bool majority = heard >= 0 && heard < 3000;
+    const bool well = refusal.empty() && majority && silent <= 3000;
     all = all && well;
     rows.push_back({address, s["member"].dump(), s["role"], s["revision"].dump(), s["entries"].dump(),
                     s["watchers"].dump(), heard < 0 ? "never" : std::to_string(heard) + " ms",
                     !refusal.empty() ? refusal
                     : well           ? "well"
-                                     : "no majority heard"});
+                    : !majority      ? "no majority heard"
+                                     : "the list's source is silent for " + std::to_string(silent) + " ms"});
     out.push_back(std::move(one));
   }
   where.print(out, rows);
--- a/cli/targets.cpp
+++ b/cli/targets.cpp
@@ -55,6 +55,10 @@
         std::printf("%s  this member has heard of no majority for %s ms\n", told["revision"].dump().c_str(),
                     told["heard_ms"].dump().c_str());
       }
+      if (told.contains("source_ms")) {
+        std::printf("%s  the list's source is silent for %s ms\n", told["revision"].dump().c_str(),
+                    told["source_ms"].dump().c_str());
+      }
       if (told["complete"].get<bool>()) {
         std::printf("%s  whole list, %zu endpoints\n", told["revision"].dump().c_str(),
                     told["members"].size());
@@ -123,6 +127,12 @@
       const json revision = before.is_null() ? json(0) : before["revision"];
       if (!before.is_null()) before.erase("revision");
       if (before == now) continue;
+      if (!before.is_null() && before.contains("owner")) {  // only its phase is ours
+        if (before["phase"] == now["phase"]) continue;
+        const json phase = now["phase"];
+        now = before;
+        now["phase"] = phase;
+      }
       std::fprintf(stderr, "%s %s", before.is_null() ? "+" : "~", entry.id.c_str());
       for (const auto& [field, value] : now.items()) {
         if (before.is_null() ? field == "host_port" : before[field] != value) {
@@ -138,7 +148,7 @@
   }
   if (options.whole) {
     for (const auto& [id, entry] : have) {
-      if (named.contains(id)) continue;
+      if (named.contains(id) || entry.contains("owner")) continue;
       std::fprintf(stderr, "- %s  %s\n", id.c_str(), entry["host_port"].get<std::string>().c_str());
       items.push_back({{"id", id}, {"entry", nullptr}, {"if_match", entry["revision"]}});
     }
--- a/registry/service.cpp
+++ b/registry/service.cpp
@@ -28,7 +28,8 @@
 
 constexpr uint64_t kNumbers = 1000;  // a member's id in the log: its number, and above it which try this is
 constexpr size_t kMostInFlight = 4096;
-constexpr int64_t kLateMs = 3000;  // a member that has not heard from a majority for so long says so
+constexpr int64_t kLateMs =
+    3000;  // a member that has not heard from a majority for so long says so, nor a source
 constexpr auto kJoinPause = std::chrono::milliseconds(200);
 constexpr std::array kCommitBounds = {0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0};
 
@@ -156,8 +157,9 @@
 
 Entry entry_of(const json& from, const std::string& id) {
   if (!from.is_object()) throw std::invalid_argument("an entry must be a JSON object");
-  static const std::set<std::string> kKnown = {"id",    "host_port", "locality",    "flavor", "cell",
-                                               "phase", "size",      "up_since_ms", "ttl_ms", "revision"};
+  static const std::set<std::string> kKnown = {"id",    "host_port",    "locality",    "flavor", "cell",
+                                               "phase", "size",         "up_since_ms", "ttl_ms", "revision",
+                                               "owner", "source_phase", "drained"};
   for (const auto& [key, value] : from.items()) {
     if (!kKnown.contains(key)) throw std::invalid_argument("'" + key + "' is no field of an entry");
   }
@@ -175,8 +177,13 @@
   out.flavor = field<std::string>(from, "flavor", "");
   out.cell = field<int>(from, "cell", 0);
   out.phase = field<std::string>(from, "phase", "active");
-  if (out.phase != "active" && out.phase != "leaving") {
-    throw std::invalid_argument("phase '" + out.phase + "' must be active or leaving");
+  out.owner = field<std::string>(from, "owner", "");
+  out.said = field<std::string>(from, "source_phase", out.owner.empty() ? "" : out.phase);
+  out.drained = field<bool>(from, "drained", false);
+  for (const std::string& phase : {out.phase, out.owner.empty() ? out.phase : out.said}) {
+    if (phase != "active" && phase != "leaving") {
+      throw std::invalid_argument("phase '" + phase + "' must be active or leaving");
+    }
   }
   out.size = field<double>(from, "size", 1);
   if (!std::isfinite(out.size) || out.size < 0) throw std::invalid_argument("size must be 0 or more");
@@ -190,6 +197,11 @@
   json out = State::member(entry, entry.phase);
   out["ttl_ms"] = entry.ttl_ms;
   out["revision"] = entry.revision;
+  if (!entry.owner.empty()) {
+    out["owner"] = entry.owner;
+    out["source_phase"] = entry.said;
+    out["drained"] = entry.drained;
+  }
   return out;
 }
 
@@ -306,12 +318,16 @@
   fs::create_directories(config_.folder);
   hub_ = std::make_unique<Hub>(io_, state_, [this] {
     const int64_t heard = heard_ms();
-    if (heard >= 0 && heard < kLateMs) return json();
-    return json({{"revision", state_.revision()},
-                 {"complete", false},
-                 {"identity", state_.identity()},
-                 {"heard_ms", heard},
-                 {"members", json::array()}});
+    const bool late = heard < 0 || heard >= kLateMs;
+    const Millis source = state_.source_ms();
+    if (!late && source <= kLateMs) return json();
+    json out = {{"revision", state_.revision()},
+                {"complete", false},
+                {"identity", state_.identity()},
+                {"members", json::array()}};
+    if (late) out["heard_ms"] = heard;
+    if (source > kLateMs) out["source_ms"] = source;
+    return out;
   });
   const std::string listen = config_.http_listen.empty() ? config_.self().http : config_.http_listen;
   server_ = std::make_unique<net::HttpServer>(
@@ -818,6 +834,40 @@
     const Entry entry = entry_of(one, "");
     command.items.push_back({entry.id, entry, {}});
   }
+  for (const std::string& id : field<std::vector<std::string>>(backup, "drained", {})) {
+    command.items.push_back({id, {}, {}});
+  }
+  write(request, answer, std::move(command));
+}
+
+// What a source's mirror says of it, under a lease, so that one mirror at a time writes.
+void Service::mirror(const HttpRequest& request, const Answer& answer) {
+  if (request.method != "PUT") return answer->reply(failure(NoSuchMethod(request.method)));
+  if (!request.fields.contains("x-lease"))
+    throw std::invalid_argument("X-Lease: a mirror writes under a lease");
+  const json body = parsed(request.body);
+  Command command{Command::Kind::kMirror, 0, "", {}, field<std::string>(body, "source", ""), 0};
+  if (command.text.empty() || command.text.size() > 200) {
+    throw std::invalid_argument("source must have 1 to 200 characters");
+  }
+  command.number = field<Revision>(body, "revision", 0);
+  command.whole = field<bool>(body, "complete", false);
+  const json members = field<json>(body, "members", json::array());
+  if (!members.is_array()) throw std::invalid_argument("members: is no list");
+  for (const json& one : members) {
+    if (!one.is_object()) throw std::invalid_argument("members: each must be an object");
+    if (field<std::string>(one, "phase", "") == "left") {
+      command.items.push_back({field<std::string>(one, "id", ""), {}, {}});
+      continue;
+    }
+    json known;  // a source may tell more than an entry has
+    for (const char* key :
+         {"id", "host_port", "locality", "flavor", "cell", "phase", "size", "up_since_ms"}) {
+      if (one.contains(key)) known[key] = one[key];
+    }
+    Entry entry = entry_of(known, "");
+    command.items.push_back({entry.id, std::move(entry), {}});
+  }
   write(request, answer, std::move(command));
 }
 
@@ -833,6 +883,11 @@
   }
   json leases = json::array();
   for (const auto& [name, lease] : state_.leases().all()) leases.push_back(json_of(lease, state_.now()));
+  json sources = json::array();
+  for (const auto& [name, source] : state_.sources()) {
+    sources.push_back(
+        {{"source", name}, {"revision", source.revision}, {"age_ms", state_.now() - source.confirmed_ms}});
+  }
   return {{"member", config_.member},
           {"id", id_},
           {"role", name_of(standing_.role)},
@@ -851,6 +906,7 @@
           {"watchers", hub_->watchers()},
           {"refusal", refusal() ? refusal()->what() : ""},
           {"leases", leases},
+          {"sources", sources},
           {"members", members}};
 }
 
@@ -879,6 +935,7 @@
   one("leases_expired_total", "counter", figures_.leases.expired);
   one("leases_fenced_total", "counter", figures_.leases.fenced);
   one("leases_renewals_total", "counter", figures_.leases.renewed);
+  one("source_seconds", "gauge", static_cast<double>(state_.source_ms()) / 1000);
   one("leads", "gauge", leads() ? 1 : 0);
   one("heard_seconds", "gauge", static_cast<double>(heard_ms()) / 1000);
   one("leader_changes_total", "counter", figures_.leader_changes);
@@ -912,6 +969,7 @@
     const std::string& path = request.path;
     if (path == "/api/targets" || path.starts_with("/api/targets/")) return targets(request, answer);
     if (path == "/api/leases" || path.starts_with("/api/leases/")) return leases(request, answer);
+    if (path == "/api/mirror") return mirror(request, answer);
     if (path.starts_with("/api/registrations/")) return registrations(request, answer);
     if (path.starts_with("/registry/members/")) return members(request, answer);
     if (path == "/registry/restore" && request.method == "POST") return restore(request, answer);
@@ -923,6 +981,7 @@
       json out = {{"format", 1}, {"identity", state_.identity()}, {"revision", state_.revision()}};
       out["entries"] = json::array();
       for (const auto& [id, entry] : state_.entries()) out["entries"].push_back(json_of(entry));
+      for (const auto& [id, since] : state_.drains()) out["drained"].push_back(id);
       reply.body = out.dump() + "\n";
     } else if (path == "/metrics") {
       reply.type = "text/plain; version=0.0.4";
--- a/registry/service.h
+++ b/registry/service.h
@@ -50,6 +50,7 @@
   void drop(uint64_t number, std::function<void(const Result&)> then);
   void at_leader(const net::HttpRequest& request, const Answer& answer,
                  const std::function<void()>& here);  // here, or says where
+  void mirror(const net::HttpRequest& request, const Answer& answer);
   void leases(const net::HttpRequest& request, const Answer& answer);
   void read(const net::HttpRequest& request, const Answer& answer, std::function<void()> then);
   void barrier(std::function<void(const Result&)> then);
--- a/registry/state.cpp
+++ b/registry/state.cpp
@@ -6,13 +6,16 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <tuple>
 
 namespace firspool::registry {
 namespace {
 
 using nlohmann::json;
 
-constexpr int kFormat = 2;  // 1: without leases
+constexpr int kFormat = 2;                 // 1: without leases and sources
+constexpr Millis kForgetSource = 600'000;  // one that owns nothing any more
+constexpr size_t kMostDrains = 10'000;
 
 std::string to_bytes(const json& value) {
   const std::vector<uint8_t> bytes = json::to_cbor(value);
@@ -20,12 +23,20 @@
 }
 
 json pack(const Entry& e) {
-  return json::array({e.id, e.host_port, e.locality, e.flavor, e.cell, e.phase, e.size, e.up_since_ms,
-                      e.ttl_ms, e.revision});
+  json out = json::array({e.id, e.host_port, e.locality, e.flavor, e.cell, e.phase, e.size, e.up_since_ms,
+                          e.ttl_ms, e.revision});
+  if (!e.owner.empty()) out.insert(out.end(), {e.owner, e.said, e.drained});
+  return out;
 }
 
 Entry unpack(const json& j) {
-  return {j.at(0), j.at(1), j.at(2), j.at(3), j.at(4), j.at(5), j.at(6), j.at(7), j.at(8), j.at(9)};
+  Entry out{j.at(0), j.at(1), j.at(2), j.at(3), j.at(4), j.at(5), j.at(6), j.at(7), j.at(8), j.at(9)};
+  if (j.size() > 10) {
+    out.owner = j.at(10);
+    out.said = j.at(11);
+    out.drained = j.at(12);
+  }
+  return out;
 }
 
 json pack(const std::optional<Entry>& entry) { return entry ? pack(*entry) : json(); }
@@ -63,10 +74,11 @@
       static_cast<int>(command.kind), command.now_ms, command.request, items, command.text, command.number};
   // What logs of before have nothing of is left out where it says nothing.
   const bool lease = command.kind == Command::Kind::kLease;
-  if (lease || !command.fence.empty()) {
+  if (lease || command.kind == Command::Kind::kMirror || !command.fence.empty()) {
     out.push_back(lease ? pack(command.lease) : json());
     out.push_back(command.fence);
     out.push_back(command.fence_token);
+    out.push_back(command.whole);
   }
   return to_bytes(out);
 }
@@ -75,7 +87,7 @@
   const json j = json::from_cbor(bytes, false);  // a log may pad it
   Command out;
   const int kind = j.at(0);
-  if (kind < 0 || kind > static_cast<int>(Command::Kind::kLead))
+  if (kind < 0 || kind > static_cast<int>(Command::Kind::kMirror))
     throw std::invalid_argument("no such command");
   out.kind = static_cast<Command::Kind>(kind);
   out.now_ms = j.at(1);
@@ -91,6 +103,7 @@
     if (!j.at(6).is_null()) out.lease = unpack_call(j.at(6));
     out.fence = j.at(7);
     out.fence_token = j.at(8);
+    if (j.size() > 9) out.whole = j.at(9);
   }
   return out;
 }
@@ -166,6 +179,84 @@
   }
 }
 
+// What an operator or a deployment says. Of a mirrored entry only the phase is theirs: a drain, which lasts
+// whatever the source says, until they take it back; and that it is to leave the list.
+void State::write(Revision index, const Item& item) {
+  const auto it = entries_.find(item.id);
+  if (item.entry && item.entry->phase == "active") drains_.erase(item.id);
+  if (it != entries_.end() && !it->second.owner.empty()) {
+    if (!item.entry) return leave(index, item.id);
+    Entry entry = it->second;
+    entry.drained = item.entry->phase == "leaving";
+    entry.phase = entry.drained ? "leaving" : entry.said;
+    return set(index, item.id, entry);
+  }
+  std::optional<Entry> entry = item.entry;
+  if (entry) {
+    entry->owner.clear();
+    entry->said.clear();
+    entry->drained = false;
+  }
+  set(index, item.id, entry);
+  lapsed_.erase(item.id);
+  due_.erase(item.id);
+  if (entry && entry->ttl_ms > 0) due_[item.id] = now_ + entry->ttl_ms;
+}
+
+// A mirrored entry goes; an operator's drain of it outlasts that.
+void State::leave(Revision index, const std::string& id) {
+  if (entries_.at(id).drained) drains_[id] = index;
+  if (drains_.size() > kMostDrains) {
+    drains_.erase(std::min_element(drains_.begin(), drains_.end(), [](const auto& a, const auto& b) {
+      return std::tie(a.second, a.first) < std::tie(b.second, b.first);
+    }));
+  }
+  set(index, id, {});
+}
+
+void State::mirror(Revision index, const Command& command) {
+  sources_[command.text] = {command.number, now_};
+  std::set<std::string> named;
+  for (const Item& item : command.items) {
+    named.insert(item.id);
+    const auto it = entries_.find(item.id);
+    const bool there = it != entries_.end();
+    if (there && it->second.owner != command.text) continue;
+    if (!item.entry) {
+      if (there) leave(index, item.id);
+      continue;
+    }
+    Entry entry = *item.entry;
+    entry.owner = command.text;
+    entry.said = entry.phase;
+    entry.ttl_ms = 0;
+    entry.drained = there ? it->second.drained : drains_.erase(item.id) > 0;
+    if (entry.drained) entry.phase = "leaving";
+    set(index, item.id, entry);
+  }
+  if (!command.whole) return;
+  std::vector<std::string> gone;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.owner == command.text && !named.contains(id)) gone.push_back(id);
+  }
+  for (const std::string& id : gone) leave(index, id);
+}
+
+// A source that was given up: nobody's watch is to speak of its age for ever.
+void State::forget_sources() {
+  std::erase_if(sources_, [this](const auto& source) {
+    return now_ - source.second.confirmed_ms > kForgetSource &&
+           std::none_of(entries_.begin(), entries_.end(),
+                        [&](const auto& entry) { return entry.second.owner == source.first; });
+  });
+}
+
+Millis State::source_ms() const {
+  Millis out = -1;
+  for (const auto& [name, source] : sources_) out = std::max(out, now_ - source.confirmed_ms);
+  return out;
+}
+
 Answer State::apply(uint64_t at, const Command& command) {
   Revision index = base_ + at;
   now_ = std::max(now_, command.now_ms);  // a new leader's clock may be behind
@@ -188,12 +279,7 @@
         answer = *refused;
         break;
       }
-      for (const Item& item : command.items) {
-        set(index, item.id, item.entry);
-        lapsed_.erase(item.id);
-        due_.erase(item.id);
-        if (item.entry && item.entry->ttl_ms > 0) due_[item.id] = now_ + item.entry->ttl_ms;
-      }
+      for (const Item& item : command.items) write(index, item);
       answer.revision = revision_;
       break;
     case Command::Kind::kRegister:
@@ -203,9 +289,13 @@
       }
       {
         Entry entry = *command.items[0].entry;
+        entry.owner.clear();  // it speaks for itself from now on
+        entry.said.clear();
+        entry.drained = false;
         const auto it = entries_.find(command.items[0].id);
         // Drained by somebody else: it stays so until they say otherwise.
-        if (it != entries_.end() && it->second.phase == "leaving" && !lapsed_.contains(it->first))
+        if (it != entries_.end() && it->second.phase == "leaving" && !lapsed_.contains(it->first) &&
+            (it->second.owner.empty() || it->second.drained))
           entry.phase = it->second.phase;
         set(index, command.items[0].id, entry);
         lapsed_.erase(command.items[0].id);
@@ -231,6 +321,7 @@
     case Command::Kind::kTick:
       leases_.tick(index, now_);
       expire(index);
+      forget_sources();
       answer.revision = revision_;
       break;
     case Command::Kind::kFound:
@@ -260,6 +351,10 @@
       if (command.number > 0) leases_.set_most_ttl(static_cast<Millis>(command.number));
       leases_.lead(now_);
       break;
+    case Command::Kind::kMirror:
+      mirror(index, command);
+      answer.revision = revision_;
+      break;
   }
   remember(command.request, answer);
   return answer;
@@ -276,7 +371,11 @@
   lapses_.clear();
   answers_.clear();
   requests_.clear();
+  sources_.clear();
+  drains_.clear();
   for (const Item& item : command.items) {
+    if (!item.entry) drains_[item.id] = base_ + at;
+    if (item.entry && !item.entry->owner.empty()) sources_[item.entry->owner] = {0, now_};
     set(base_ + at, item.id, item.entry);
     if (item.entry && item.entry->ttl_ms > 0) due_[item.id] = now_ + item.entry->ttl_ms;
   }
@@ -306,10 +405,13 @@
     const Answer& a = answers_.at(request);
     answers.push_back({request, static_cast<int>(a.kind), a.revision, a.id});
   }
+  json sources = json::object();
+  for (const auto& [name, source] : sources_) sources[name] = {source.revision, source.confirmed_ms};
   const json limits = {limits_.kept_changes,  limits_.kept_requests, limits_.leave_ms,
                        limits_.lapse_span_ms, limits_.lapse_share,   limits_.lapse_least};
   return to_bytes({kFormat, limits, base_, revision_, compacted_, now_, identity_, members_, entries, due_,
-                   lapses_, held_, changes, answers, lapsed_, pack(leases_.limits()), leases_.pack()});
+                   lapses_, held_, changes, answers, lapsed_, pack(leases_.limits()), leases_.pack(), sources,
+                   drains_});
 }
 
 State State::restore(const std::string& bytes) {
@@ -334,7 +436,10 @@
   for (const json& a : j.at(13))
     out.remember(a.at(0), {static_cast<Answer::Kind>(a.at(1).get<int>()), a.at(2), a.at(3)});
   out.lapsed_ = j.at(14).get<std::set<std::string>>();
-  if (j.at(0) != 1) out.leases_ = Leases::unpack(j.at(16), unpack_limits(j.at(15)));
+  if (j.at(0) == 1) return out;
+  out.leases_ = Leases::unpack(j.at(16), unpack_limits(j.at(15)));
+  for (const auto& [name, source] : j.at(17).items()) out.sources_[name] = {source.at(0), source.at(1)};
+  out.drains_ = j.at(18).get<std::map<std::string, Revision>>();
   return out;
 }
 
--- a/registry/state.h
+++ b/registry/state.h
@@ -44,6 +44,10 @@
   Millis up_since_ms = 0;
   Millis ttl_ms = 0;      // registrations: to be renewed within this time; 0: it stays until it is taken out
   Revision revision = 0;  // of its last change
+  std::string owner{};    // the source that it is mirrored from; empty: an operator or deployment
+  // Of mirrored ones: what the source says, and whether an operator drains it. `phase` is what comes of both.
+  std::string said{};
+  bool drained = false;
   bool operator==(const Entry&) const = default;
 };
 
@@ -57,21 +61,25 @@
 struct Command {
   // kFound begins the list if there is none; kRestore puts another in its place, the leases stand. kLead is
   // the first of each leader.
-  enum class Kind { kWrite, kRegister, kRenew, kTick, kFound, kRestore, kMember, kLease, kLead };
+  enum class Kind { kWrite, kRegister, kRenew, kTick, kFound, kRestore, kMember, kLease, kLead, kMirror };
   Kind kind = Kind::kTick;
   Millis now_ms = 0;
   std::string request;      // a client's name for it; one that comes again gets the first one's answer
-  std::vector<Item> items;  // kWrite: all or none; kRegister, kRenew: one; kRestore: the whole list
+  std::vector<Item> items;  // kWrite: all or none; kRegister, kRenew: one; kRestore: the whole list, and
+                            // where there is no entry, the
+  // id of one that has left and is drained once it comes back; kMirror: what the source says
   // kFound, kRestore: the list's name, which no other list has, and what its revisions are above.
   // kMember: a member's HTTP address, empty where it goes, and its number.
   // kTick: the leader's hash of its state, in hex, and the index that it was taken at; empty where there is
   // none.
   // kLead: the longest TTL of a lease from now on; 0: as it is.
+  // kMirror: the source's name, and the revision of its list.
   std::string text;
   uint64_t number = 0;
   LeaseCall lease = {};   // kLease
   std::string fence{};    // the lease under which this is written: it must stand, or nothing changes
   Token fence_token = 0;  // and its grant
+  bool whole = false;     // kMirror: what the source does not name has left
 };
 
 // CBOR, for the log. decode throws std::exception on what is no command.
@@ -97,6 +105,13 @@
   bool operator==(const Change&) const = default;
 };
 
+// Where entries are mirrored from.
+struct Source {
+  Revision revision = 0;
+  Millis confirmed_ms = 0;  // that its list was current
+  bool operator==(const Source&) const = default;
+};
+
 class State {
  public:
   explicit State(Limits limits = {}) : limits_(limits) {}
@@ -111,6 +126,10 @@
   const std::map<uint64_t, std::string>& members() const { return members_; }  // their HTTP addresses
   Millis now() const { return now_; }
   size_t registrations() const { return due_.size(); }
+  const std::map<std::string, Source>& sources() const { return sources_; }
+  Millis source_ms() const;  // since the source that is silent for longest was heard; -1: there is none
+  // Drained by an operator, and left since: drained again should they come back.
+  const std::map<std::string, Revision>& drains() const { return drains_; }
   const Leases& leases() const { return leases_; }
   bool held() const { return held_; }  // expiry stands still: too much would lapse at once
 
@@ -131,6 +150,10 @@
   std::optional<Answer> refusal(const std::vector<Item>& items) const;
   void set(Revision index, const std::string& id, std::optional<Entry> entry);
   void expire(Revision index);
+  void write(Revision index, const Item& item);
+  void mirror(Revision index, const Command& command);
+  void leave(Revision index, const std::string& id);
+  void forget_sources();
   void found(uint64_t at, const Command& command);
   void remember(const std::string& request, const Answer& answer);
 
@@ -149,6 +172,8 @@
   bool held_ = false;
   std::deque<Change> changes_;
   Leases leases_;
+  std::map<std::string, Source> sources_;
+  std::map<std::string, Revision> drains_;  // since when
   std::map<std::string, Answer> answers_;
   std::deque<std::string> requests_;  // in their order
 };
