--- a/cli/command.h
+++ b/cli/command.h
@@ -12,8 +12,10 @@
 
 // How a command ends, for a shell.
 constexpr int kHeld = 0;
-constexpr int kBroken = 1;  // something that was checked did not hold, or a run failed
-constexpr int kMisuse = 2;  // the command or its input is wrong
+constexpr int kBroken = 1;   // something that was checked did not hold, or a run failed
+constexpr int kMisuse = 2;   // the command or its input is wrong
+constexpr int kRefused = 3;  // asked rightly, and refused as things stand
+constexpr int kUnknown = 4;  // it may have been done
 
 // What every command needs that talks to a registry.
 struct RegistryOptions {
--- a/cli/lab.cpp
+++ b/cli/lab.cpp
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "command.h"
+#include "errors.h"
 #include "lab/compare.h"
 #include "lab/registry_play.h"
 
@@ -41,7 +42,7 @@
 std::string program(const std::string& option, const std::string& given) {
   const std::string path = given.empty() ? beside_this() : given;
   if (::access(path.c_str(), X_OK) != 0 || fs::is_directory(path)) {
-    throw net::BadInput(option + " " + path + ": is no program that can be run; build it, or name another");
+    throw NoProgram(option, path);
   }
   return fs::absolute(path);
 }
@@ -49,14 +50,18 @@
 // A folder of its own for each run.
 std::string new_folder(const std::string& given, const std::string& name, uint64_t seed) {
   if (!given.empty()) {
-    if (fs::exists(given) && !fs::is_empty(given)) throw net::BadInput("--out " + given + ": is not empty");
-    fs::create_directories(given);
+    std::error_code error;
+    fs::create_directories(given, error);
+    if (error) throw FolderUnusable(given, error.message());
+    if (!fs::is_empty(given)) throw FolderUnusable(given, "is not empty");
     return fs::absolute(given);
   }
   const std::string base = "logs/lab/" + name + "-" + std::to_string(seed);
   std::string path = base;
   for (int i = 2; fs::exists(path); ++i) path = base + "." + std::to_string(i);
-  fs::create_directories(path);
+  std::error_code error;
+  fs::create_directories(path, error);
+  if (error) throw FolderUnusable(path, error.message());
   return fs::absolute(path);
 }
 
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -1,17 +1,41 @@
 // turntally: one program for operators.
 #include <cstdio>
 #include <exception>
+#include <nlohmann/json.hpp>
 
 #include "command.h"
-#include "net/toml.h"
+#include "errors.h"
+#include "registry/client_errors.h"
+
+namespace {
+
+using namespace firspool;
+
+int failed(const net::Error& error) {
+  std::fprintf(stderr, "turntally: %s\n  %s [%s]\n", error.what(), error.action().c_str(), error.code());
+  switch (error.family()) {
+    case net::Family::kBroken:
+      return cli::kBroken;
+    case net::Family::kMisuse:
+      return cli::kMisuse;
+    case net::Family::kRefused:
+      return cli::kRefused;
+    case net::Family::kUnknown:
+      return cli::kUnknown;
+  }
+  return cli::kBroken;
+}
+
+}  // namespace
 
 int main(int argc, char** argv) {
-  using namespace firspool;
   CLI::App app("turntally: a message relay's fleet, for operators.");
   app.set_version_flag("--version", "turntally " TURNTALLY_VERSION);
   app.footer(
-      "Exit status: 0 all held, 1 something was broken, 2 wrong use.\nExample: turntally lab run "
-      "lab/scenarios/calm.toml");
+      "Exit status: 0 all held, 1 something was broken, 2 wrong use, 3 refused as things stand, 4 it may "
+      "have "
+      "been done.\nWhat went wrong stands on standard error, below it what to do [code: docs/errors.md].\n"
+      "Example: turntally lab run lab/scenarios/calm.toml");
   app.require_subcommand(1);
   int status = cli::kHeld;
   cli::add_lab(app, status);
@@ -24,14 +48,12 @@
     return app.exit(done);
   } catch (const CLI::ParseError& error) {
     const auto unknown = app.remaining(true);
-    const std::string what = unknown.empty() ? error.what() : "'" + unknown.front() + "' is not known";
-    std::fprintf(stderr, "turntally: %s (see --help)\n", what.c_str());
-    return cli::kMisuse;
-  } catch (const net::BadInput& error) {
-    std::fprintf(stderr, "turntally: %s\n", error.what());
-    return cli::kMisuse;
+    return failed(cli::WrongUse(unknown.empty() ? error.what() : "'" + unknown.front() + "' is not known"));
+  } catch (const net::Error& error) {
+    return failed(error);
+  } catch (const nlohmann::json::exception& error) {  // files are read with words of their own
+    return failed(registry::AnswerUnreadable(error.what()));
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "turntally: %s\n", error.what());
-    return cli::kBroken;
+    return failed(cli::Unexpected(error.what()));
   }
 }
--- a/cli/registry.cpp
+++ b/cli/registry.cpp
@@ -3,14 +3,18 @@
 #include <unistd.h>
 
 #include <boost/asio/signal_set.hpp>
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
+#include <cstring>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <sstream>
 
 #include "command.h"
+#include "errors.h"
 #include "net/log.h"
 #include "net/toml.h"
 #include "registry/client.h"
@@ -45,27 +49,33 @@
     ::setrlimit(RLIMIT_NOFILE, &files);
   }
   boost::asio::io_context io;
-  int status = kHeld;
-  registry::Service service(io, config, [&](const std::string& why) {
-    std::fprintf(stderr, "turntally registry: member %llu ends: %s\n",
-                 static_cast<unsigned long long>(config.member), why.c_str());
-    status = kBroken;
-    io.stop();
-  });
+  std::string ended;
+  std::optional<registry::Service> service;
+  try {
+    service.emplace(io, config, [&](const std::string& why) {
+      ended = why;
+      io.stop();
+    });
+  } catch (const net::Error&) {
+    throw;
+  } catch (const std::exception& error) {
+    throw MemberNotStarted(config.member, error.what());
+  }
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
   io.run();
   net::log::info("ends", "member", config.member);
-  return status;
+  if (!ended.empty()) throw MemberEnded(config.member, ended);
+  return kHeld;
 }
 
 json read_json(const std::string& path) {
   std::ifstream in(path);
-  if (!in) throw net::BadInput(path + ": cannot be read");
+  if (!in) throw FileUnreadable(path, std::strerror(errno));
   std::stringstream text;
   text << in.rdbuf();
   json out = json::parse(text.str(), nullptr, false);
-  if (out.is_discarded()) throw net::BadInput(path + ": is no JSON");
+  if (out.is_discarded()) throw FileUnreadable(path, "is no JSON");
   return out;
 }
 
@@ -86,17 +96,18 @@
     json one = s;
     one["address"] = address;
     one["reachable"] = true;
-    const int64_t heard = s["heard_ms"];
-    const std::string refusal = s["refusal"];
+    const int64_t heard = s.at("heard_ms");
+    const std::string refusal = s.at("refusal");
     int64_t silent = 0;
     for (const json& source : s.value("sources", json::array())) {
-      silent = std::max(silent, source["age_ms"].get<int64_t>());
+      silent = std::max(silent, source.at("age_ms").get<int64_t>());
     }
     const bool majority = heard >= 0 && heard < 3000;
     const bool well = refusal.empty() && majority && silent <= 3000;
     all = all && well;
-    rows.push_back({address, s["member"].dump(), s["role"], s["revision"].dump(), s["entries"].dump(),
-                    s["watchers"].dump(), heard < 0 ? "never" : std::to_string(heard) + " ms",
+    rows.push_back({address, s.at("member").dump(), s.at("role"), s.at("revision").dump(),
+                    s.at("entries").dump(), s.at("watchers").dump(),
+                    heard < 0 ? "never" : std::to_string(heard) + " ms",
                     !refusal.empty() ? refusal
                     : well           ? "well"
                     : !majority      ? "no majority heard"
@@ -133,22 +144,22 @@
 int hand_over(const Options& options) {
   Client client = options.where.client();
   const std::string path = "/api/leases/" + options.lease;
-  const json lease = json::parse(client.get({"GET", path + "?consistent=1", {}, ""}));
-  const json body = {{"call", "hand_over"}, {"to", options.to}, {"token", lease["token"]}};
+  const json lease = client.get({"GET", path + "?consistent=1", {}, ""});
+  const json body = {{"call", "hand_over"}, {"to", options.to}, {"token", lease.at("token")}};
   client.get({"POST", path, {}, body.dump()});
-  std::fprintf(stderr, "%s is asked to hand '%s' over to %s\n", lease["holder"].get<std::string>().c_str(),
+  std::fprintf(stderr, "%s is asked to hand '%s' over to %s\n", lease.at("holder").get<std::string>().c_str(),
                options.lease.c_str(), options.to.empty() ? "the next in line" : options.to.c_str());
   return kHeld;
 }
 
 int members(const RegistryOptions& where) {
-  const json s = json::parse(where.client().get({"GET", "/registry/status", {}, ""}));
+  const json s = where.client().get({"GET", "/registry/status", {}, ""});
   std::vector<std::vector<std::string>> rows = {{"MEMBER", "RAFT", "HTTP", "VOTES", "LEADS"}};
-  for (const json& m : s["members"]) {
-    rows.push_back({m["member"].dump(), m["raft"], m["http"], m["voter"].get<bool>() ? "yes" : "not yet",
-                    m["leader"].get<bool>() ? "yes" : ""});
+  for (const json& m : s.at("members")) {
+    rows.push_back({m.at("member").dump(), m.at("raft"), m.at("http"),
+                    m.at("voter").get<bool>() ? "yes" : "not yet", m.at("leader").get<bool>() ? "yes" : ""});
   }
-  where.print(s["members"], rows);
+  where.print(s.at("members"), rows);
   return kHeld;
 }
 
@@ -254,7 +265,7 @@
   hand->add_option("LEASE", options.lease, "its name")->required();
   hand->add_option("--to", options.to, "who is to have it; else the next in line");
   command("backup", "Write the whole list to standard output.", "backup --at 127.0.0.1:7101 > list.json", [] {
-    std::printf("%s", options.where.client().get({"GET", "/registry/backup", {}, ""}).c_str());
+    std::printf("%s\n", options.where.client().get({"GET", "/registry/backup", {}, ""}).dump().c_str());
     return kHeld;
   });
   CLI::App* restore = command(
@@ -262,10 +273,9 @@
       "Put a backup in the list's place. The list gets a new identity, so that all clients take it whole.",
       "restore list.json --at 127.0.0.1:7101", [] {
         const json backup = read_json(options.file);
-        const json now =
-            json::parse(options.where.client().get({"POST", "/registry/restore", {}, backup.dump()}));
+        const json now = options.where.client().get({"POST", "/registry/restore", {}, backup.dump()});
         std::fprintf(stderr, "restored: identity %s, revision %s\n",
-                     now["identity"].get<std::string>().c_str(), now["revision"].dump().c_str());
+                     now.at("identity").get<std::string>().c_str(), now.at("revision").dump().c_str());
         return kHeld;
       });
   restore->add_option("FILE", options.file, "a backup")->required();
--- a/cli/targets.cpp
+++ b/cli/targets.cpp
@@ -1,7 +1,9 @@
 // turntally targets: list, watch, apply, drain, remove.
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdio>
+#include <cstring>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -9,6 +11,7 @@
 #include <sstream>
 
 #include "command.h"
+#include "errors.h"
 #include "net/toml.h"
 #include "registry/service.h"
 
@@ -27,18 +30,16 @@
   bool yes = false;
 };
 
-json backup(Client& client) { return json::parse(client.get({"GET", "/registry/backup", {}, ""})); }
-
 std::vector<std::string> row_of(const json& m) {
-  return {m["id"],     m["host_port"],   m["cell"].dump(), m["locality"],
-          m["flavor"], m["size"].dump(), m["phase"]};
+  return {m.at("id"),     m.at("host_port"),   m.at("cell").dump(), m.at("locality"),
+          m.at("flavor"), m.at("size").dump(), m.at("phase")};
 }
 
 int list(const Options& options) {
-  const json all = json::parse(options.where.client().get(
-      {"GET", options.consistent ? "/api/targets?consistent=1" : "/api/targets", {}, ""}));
+  const json all = options.where.client().get(
+      {"GET", options.consistent ? "/api/targets?consistent=1" : "/api/targets", {}, ""});
   std::vector<std::vector<std::string>> rows = {{"ID", "ADDRESS", "CELL", "ZONE", "KIND", "SIZE", "PHASE"}};
-  for (const json& m : all["members"]) rows.push_back(row_of(m));
+  for (const json& m : all.at("members")) rows.push_back(row_of(m));
   options.where.print(all, rows);
   return kHeld;
 }
@@ -52,21 +53,21 @@
     } else {
       const json told = json::parse(line);
       if (told.contains("heard_ms")) {
-        std::printf("%s  this member has heard of no majority for %s ms\n", told["revision"].dump().c_str(),
-                    told["heard_ms"].dump().c_str());
+        std::printf("%s  this member has heard of no majority for %s ms\n",
+                    told.at("revision").dump().c_str(), told.at("heard_ms").dump().c_str());
       }
       if (told.contains("source_ms")) {
-        std::printf("%s  the list's source is silent for %s ms\n", told["revision"].dump().c_str(),
-                    told["source_ms"].dump().c_str());
+        std::printf("%s  the list's source is silent for %s ms\n", told.at("revision").dump().c_str(),
+                    told.at("source_ms").dump().c_str());
       }
-      if (told["complete"].get<bool>()) {
-        std::printf("%s  whole list, %zu endpoints\n", told["revision"].dump().c_str(),
-                    told["members"].size());
+      if (told.at("complete").get<bool>()) {
+        std::printf("%s  whole list, %zu endpoints\n", told.at("revision").dump().c_str(),
+                    told.at("members").size());
       }
-      for (const json& m : told["members"]) {
-        std::printf("%s  %-8s %s %s cell %s\n", told["revision"].dump().c_str(),
-                    m["phase"].get<std::string>().c_str(), m["id"].get<std::string>().c_str(),
-                    m["host_port"].get<std::string>().c_str(), m["cell"].dump().c_str());
+      for (const json& m : told.at("members")) {
+        std::printf("%s  %-8s %s %s cell %s\n", told.at("revision").dump().c_str(),
+                    m.at("phase").get<std::string>().c_str(), m.at("id").get<std::string>().c_str(),
+                    m.at("host_port").get<std::string>().c_str(), m.at("cell").dump().c_str());
       }
     }
     return std::fflush(stdout) == 0;
@@ -76,24 +77,16 @@
 
 // Each with the revision that the change was made for, so that nobody else's is undone.
 int write(const Options& options, Client& client, const json& items) {
-  const net::HttpReply reply = client.ask(
+  const json said = client.get(
       {"POST", "/api/targets", {}, json({{"items", items}}).dump(), std::chrono::milliseconds(8000)});
-  const json said = json::parse(reply.body, nullptr, false);
-  if (reply.status == 412) {
-    throw std::runtime_error(said.value("error", "") +
-                             ": somebody changed it meanwhile; nothing was written");
-  }
-  if (reply.status != 200) {
-    throw std::runtime_error(said.is_object() ? said.value("error", "refused") : "refused");
-  }
   if (options.where.json) std::printf("%s\n", said.dump().c_str());
-  std::fprintf(stderr, "%zu written, revision %s\n", items.size(), said["revision"].dump().c_str());
+  std::fprintf(stderr, "%zu written, revision %s\n", items.size(), said.at("revision").dump().c_str());
   return kHeld;
 }
 
 bool confirmed(const Options& options) {
   if (options.yes) return true;
-  if (::isatty(0) == 0) throw net::BadInput("say --yes: there is no terminal to ask at");
+  if (::isatty(0) == 0) throw NotConfirmed();
   std::fprintf(stderr, "write this? [y/N] ");
   std::string answer;
   std::getline(std::cin, answer);
@@ -102,7 +95,7 @@
 
 int apply(const Options& options) {
   std::ifstream in(options.file);
-  if (!in) throw net::BadInput(options.file + ": cannot be read");
+  if (!in) throw FileUnreadable(options.file, std::strerror(errno));
   std::stringstream text;
   text << in.rdbuf();
   const json wanted = json::parse(text.str(), nullptr, false);
@@ -112,7 +105,8 @@
   }
   Client client = options.where.client();
   std::map<std::string, json> have;
-  for (const json& entry : backup(client)["entries"]) have[entry["id"]] = entry;
+  const json backup = client.get({"GET", "/registry/backup", {}, ""});
+  for (const json& entry : backup.at("entries")) have[entry.at("id")] = entry;
   json items = json::array();
   std::set<std::string> named;
   size_t place = 0;
@@ -142,7 +136,7 @@
       }
       std::fprintf(stderr, "\n");
       items.push_back({{"id", entry.id}, {"entry", now}, {"if_match", revision}});
-    } catch (const std::invalid_argument& error) {
+    } catch (const std::exception& error) {  // what is named here is the file's
       throw net::BadInput(at + error.what());
     }
   }
@@ -167,10 +161,11 @@
 int take_out(const Options& options, bool drain) {
   Client client = options.where.client();
   std::map<std::string, json> have;
-  for (const json& entry : backup(client)["entries"]) have[entry["id"]] = entry;
+  const json backup = client.get({"GET", "/registry/backup", {}, ""});
+  for (const json& entry : backup.at("entries")) have[entry.at("id")] = entry;
   json items = json::array();
   for (const std::string& id : options.ids) {
-    if (!have.contains(id)) throw net::BadInput("'" + id + "' is not listed");
+    if (!have.contains(id)) throw NotListed(id);
     json entry = have[id];
     const json revision = entry["revision"];
     entry.erase("revision");
--- /dev/null
+++ b/lab/errors.h
@@ -0,0 +1,45 @@
+// What keeps a run of the lab from being played or written: docs/errors.md. What goes wrong within a play is
+// in its history.
+#pragma once
+
+#include "net/error.h"
+
+namespace firspool::lab {
+
+class NoAddresses : public net::Error {
+ public:
+  NoAddresses()
+      : Error("no_addresses", net::Family::kBroken, "no block of loopback addresses is free",
+              "wait until other runs of the lab are over") {}
+};
+
+class NotStarted : public net::Error {
+ public:
+  explicit NotStarted(const std::string& why)
+      : Error("process_not_started", net::Family::kBroken, "a process of the play cannot be started: " + why,
+              "see the run's folder, and the machine's limits of processes and files") {}
+};
+
+class RegistryNotReady : public net::Error {
+ public:
+  explicit RegistryNotReady(double seconds)
+      : Error("registry_not_ready", net::Family::kBroken,
+              "the registry was not ready in " + std::to_string(seconds) + " s",
+              "see the members' logs in the run's folder") {}
+};
+
+class NotWritten : public net::Error {
+ public:
+  explicit NotWritten(const std::string& path)
+      : Error("run_not_written", net::Family::kBroken, path + ": cannot be written",
+              "make room on the disk of the run's folder") {}
+};
+
+class NoPlot : public net::Error {
+ public:
+  explicit NoPlot(const std::string& script)
+      : Error("no_plot", net::Family::kBroken, "gnuplot failed on " + script,
+              "install gnuplot, or say --no-plots") {}
+};
+
+}  // namespace firspool::lab
--- a/lab/play.h
+++ b/lab/play.h
@@ -35,7 +35,7 @@
   size_t unfinished = 0;   // messages taken on that had no end when the run was over
 };
 
-// Throws std::runtime_error where a run cannot be set up; what goes wrong in it is in its history.
+// Throws an error of errors.h where a run cannot be set up; what goes wrong in it is in its history.
 Played play(const Scenario& scenario, const Plan& plan, const PlayOptions& options);
 
 }  // namespace firspool::lab
--- a/lab/process.cpp
+++ b/lab/process.cpp
@@ -11,7 +11,8 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
-#include <stdexcept>
+
+#include "errors.h"
 
 namespace firspool::lab {
 
@@ -31,7 +32,7 @@
   argv.push_back(nullptr);
   envp.push_back(nullptr);
   const int log = ::open(what.log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-  if (log < 0) throw std::runtime_error(what.log + ": " + std::strerror(errno));
+  if (log < 0) throw NotStarted(what.log + ": " + std::strerror(errno));
   const pid_t lab = ::getpid();
   const pid_t child = ::fork();
   if (child == 0) {
@@ -53,7 +54,7 @@
   }
   const int failed = errno;
   ::close(log);
-  if (child < 0) throw std::runtime_error(std::string("no further process: ") + std::strerror(failed));
+  if (child < 0) throw NotStarted(std::strerror(failed));
   return child;
 }
 
--- a/lab/process.h
+++ b/lab/process.h
@@ -16,7 +16,7 @@
   int descriptors = 0;                             // at most; 0: as the lab
 };
 
-// Throws std::runtime_error. The child gets SIGKILL when the lab's thread ends; a full disk is an error to
+// Throws NotStarted. The child gets SIGKILL when the lab's thread ends; a full disk is an error to
 // it, not a signal.
 pid_t spawn(const Spawn& what);
 
--- a/lab/registry_play.cpp
+++ b/lab/registry_play.cpp
@@ -17,6 +17,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "lab/errors.h"
 #include "lab/linear.h"
 #include "lab/link.h"
 #include "lab/process.h"
@@ -654,8 +655,7 @@
 void Play::await(const std::function<bool()>& ready, double most) {
   const double until = now() + most;
   while (!ready()) {
-    if (now() > until)
-      throw std::runtime_error("the registry was not ready in " + std::to_string(most) + " s");
+    if (now() > until) throw RegistryNotReady(most);
     bool woken = false;
     after(0.05, [&woken] { woken = true; });
     while (!woken) io_.run_one();
--- a/lab/registry_play.h
+++ b/lab/registry_play.h
@@ -77,7 +77,7 @@
   std::function<void(const std::string& line, bool last)> progress;
 };
 
-// Throws std::runtime_error where a run cannot be set up.
+// Throws an error of errors.h where a run cannot be set up.
 RegistryPlayed play_registry(const RegistryScenario& scenario, const RegistryPlayOptions& options);
 
 }  // namespace firspool::lab
--- a/lab/report.cpp
+++ b/lab/report.cpp
@@ -11,6 +11,8 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "errors.h"
+
 namespace firspool::lab {
 namespace {
 
@@ -76,7 +78,7 @@
 void write(const fs::path& path, const std::string& text) {
   std::ofstream file(path, std::ios::binary);
   file << text;
-  if (!file.flush()) throw std::runtime_error(path.string() + ": cannot be written");
+  if (!file.flush()) throw NotWritten(path.string());
 }
 
 // One line a second: what came, what was delivered in time and late, what was refused, and relays that are
@@ -144,8 +146,7 @@
     }
     write(folder / (name + ".gp"), script);
     const std::string command = "cd '" + folder.string() + "' && gnuplot " + name + ".gp >/dev/null 2>&1";
-    if (std::system(command.c_str()) != 0)
-      throw std::runtime_error("gnuplot failed on " + name + ".gp: is it installed?");
+    if (std::system(command.c_str()) != 0) throw NoPlot(name + ".gp");
   };
   both("served",
        "set xlabel 'second'\nset ylabel 'messages a second'\nset y2label 'relays up'\nset y2tics\nset "
@@ -335,7 +336,7 @@
   write(path / "plan.txt", plan.text());
   std::ofstream events(path / "events.jsonl");
   played.history.write(events);
-  if (!events.flush()) throw std::runtime_error((path / "events.jsonl").string() + ": cannot be written");
+  if (!events.flush()) throw NotWritten((path / "events.jsonl").string());
   ordered_json json = to_json(figures);
   json["invariants"] = ordered_json::object();
   for (const Verdict& v : verdicts)
--- a/lab/report.h
+++ b/lab/report.h
@@ -54,7 +54,7 @@
   bool plots = true;
 };
 
-// Writes all files of the folder; throws std::runtime_error where one cannot be written.
+// Writes all files of the folder; throws NotWritten or NoPlot.
 void write_folder(const RunFolder& folder, const Scenario& scenario, const Plan& plan, const Played& played,
                   const Figures& figures, const std::vector<Verdict>& verdicts);
 
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -1,6 +1,6 @@
 #include "world.h"
 
-#include <stdexcept>
+#include "errors.h"
 
 namespace firspool::lab {
 namespace {
@@ -26,7 +26,7 @@
     if (!error) return;
     lock_ = tcp::acceptor(io, tcp::v4());
   }
-  throw std::runtime_error("no block of loopback addresses is free: do other runs go on?");
+  throw NoAddresses();
 }
 
 boost::asio::ip::address_v4 Block::of(Role role, int relay) const {
--- a/lab/world.h
+++ b/lab/world.h
@@ -19,7 +19,7 @@
 // own.
 class Block {
  public:
-  explicit Block(boost::asio::io_context& io);  // throws std::runtime_error where none is free
+  explicit Block(boost::asio::io_context& io);  // throws NoAddresses where none is free
 
   enum Role { kRelay = 10, kToRelay = 20, kToDiscovery = 30, kSource = 40, kToEndpoint = 50 };
   boost::asio::ip::address_v4 of(Role role, int relay) const;
--- a/net/address.cpp
+++ b/net/address.cpp
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <stdexcept>
 
+#include "error.h"
+
 namespace firspool::net {
 
 tcp::endpoint parse_address(const std::string& text) {
@@ -17,6 +19,15 @@
   return {address, port};
 }
 
+void listen(tcp::acceptor& acceptor, const tcp::endpoint& address) {
+  boost::system::error_code error;
+  acceptor.open(address.protocol(), error);
+  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor.bind(address, error);
+  if (!error) acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+  if (error) throw CannotListen(text_of(address), error.message());
+}
+
 std::string text_of(const tcp::endpoint& address) {
   return address.address().to_string() + ":" + std::to_string(address.port());
 }
--- a/net/address.h
+++ b/net/address.h
@@ -10,6 +10,8 @@
 
 // Throws std::invalid_argument.
 tcp::endpoint parse_address(const std::string& text);
+// Opens the acceptor there, also where a connection of before lingers. Throws CannotListen.
+void listen(tcp::acceptor& acceptor, const tcp::endpoint& address);
 std::string text_of(const tcp::endpoint& address);
 
 }  // namespace firspool::net
--- a/net/http.cpp
+++ b/net/http.cpp
@@ -217,10 +217,7 @@
 HttpServer::HttpServer(boost::asio::io_context& io, const tcp::endpoint& listen, HttpLimits limits,
                        Handle handle)
     : acceptor_(io), pause_(io), limits_(limits), handle_(std::move(handle)) {
-  acceptor_.open(listen.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(listen);
-  acceptor_.listen();
+  net::listen(acceptor_, listen);
   accept();
 }
 
@@ -263,9 +260,11 @@
     request_.body() = std::move(call.body);
     request_.prepare_payload();
     answer_.body_limit(boost::none);
+    connected_ = std::move(call.connected);
     stream_.expires_after(call.timeout);
     stream_.async_connect(to, [self = shared_from_this()](const Error& error) {
       if (error) return self->done_({});
+      if (self->connected_) self->connected_();
       http::async_write(self->stream_, self->request_, [self](const Error& failed, size_t) {
         if (failed) return self->done_({});
         http::async_read(self->stream_, self->buffer_, self->answer_,
@@ -293,6 +292,7 @@
   http::request<http::string_body> request_;
   http::response_parser<http::string_body> answer_;
   std::function<void(std::optional<HttpReply>)> done_;
+  std::function<void()> connected_;
 };
 
 }  // namespace
--- a/net/http.h
+++ b/net/http.h
@@ -70,7 +70,7 @@
  public:
   using Handle = std::function<void(const HttpRequest&, const std::shared_ptr<HttpAnswer>&)>;
 
-  // Listens at once; throws boost::system::system_error.
+  // Listens at once; throws CannotListen.
   HttpServer(boost::asio::io_context& io, const tcp::endpoint& listen, HttpLimits limits, Handle handle);
   ~HttpServer();
 
@@ -96,6 +96,7 @@
   std::map<std::string, std::string> fields;
   std::string body;
   std::chrono::milliseconds timeout{2000};
+  std::function<void()> connected = nullptr;  // before it, nothing of the call can have arrived
 };
 
 // nothing: no connection, no whole answer in time. The connection is one of its own.
--- a/net/log.cpp
+++ b/net/log.cpp
@@ -5,7 +5,6 @@
 
 #include <array>
 #include <memory>
-#include <stdexcept>
 
 namespace firspool::net::log {
 namespace {
@@ -33,7 +32,7 @@
   for (size_t i = 0; i < kNames.size(); ++i) {
     if (name == kNames[i]) return void(least = static_cast<Level>(i));
   }
-  throw std::invalid_argument("'" + name + "' is no log level: debug, info, warn or error");
+  throw BadInput("'" + name + "' is no log level: debug, info, warn or error");
 }
 
 bool on(Level level) { return level >= least; }
--- a/net/log.h
+++ b/net/log.h
@@ -8,11 +8,13 @@
 #include <string>
 #include <string_view>
 
+#include "error.h"
+
 namespace firspool::net::log {
 
 enum class Level { kDebug, kInfo, kWarn, kError };
 
-// "debug", "info", "warn" or "error"; throws std::invalid_argument.
+// "debug", "info", "warn" or "error"; throws BadInput.
 void set_level(const std::string& name);
 bool on(Level level);
 
@@ -63,4 +65,11 @@
   detail::event(Level::kError, event, more...);
 }
 
+// An error that goes no further than the log: its code, what happened and what to do, behind what else is
+// known.
+template <typename... Fields>
+void failed(Level level, std::string_view event, const Error& error, const Fields&... more) {
+  detail::event(level, event, more..., "code", error.code(), "what", error.what(), "action", error.action());
+}
+
 }  // namespace firspool::net::log
--- a/net/toml.h
+++ b/net/toml.h
@@ -5,17 +5,12 @@
 #include <memory>
 #include <optional>
 #include <set>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
-namespace firspool::net {
+#include "error.h"
 
-// What a user has to mend. One line: "FILE:LINE: KEY: what is wrong".
-class BadInput : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
+namespace firspool::net {
 
 struct Range {
   double low = 0;
--- a/registry/client.cpp
+++ b/registry/client.cpp
@@ -1,10 +1,14 @@
 #include "client.h"
 
+#include <algorithm>
+#include <cctype>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <stdexcept>
 #include <thread>
 
+#include "client_errors.h"
 #include "net/backoff.h"
 #include "net/lines.h"
 #include "net/random.h"
@@ -22,11 +26,36 @@
   return (static_cast<uint64_t>(random()) << 32) ^ random();
 }
 
-std::string words_of(const net::HttpReply& reply) {
+std::string text_in(const json& body, const char* key) {
+  const auto it = body.is_object() ? body.find(key) : body.end();
+  if (!body.is_object() || it == body.end() || !it->is_string()) return "";
+  std::string out = it->get<std::string>();
+  std::replace_if(
+      out.begin(), out.end(), [](unsigned char c) { return std::iscntrl(c) != 0; }, ' ');
+  return out;
+}
+
+bool is_code(const std::string& text) {
+  return !text.empty() && text.find_first_not_of("abcdefghijklmnopqrstuvwxyz_") == std::string::npos;
+}
+
+Refused refused_by(const net::HttpReply& reply) {
   const json body = json::parse(reply.body, nullptr, false);
-  if (!body.is_object() || !body.contains("error")) return "status " + std::to_string(reply.status);
-  const std::string action = body.value("action", "");
-  return body["error"].get<std::string>() + (action.empty() ? "" : "; " + action);
+  const std::string what = text_in(body, "error");
+  const std::string code = text_in(body, "code");
+  return Refused(reply.status, what.empty() ? "status " + std::to_string(reply.status) : what,
+                 is_code(code) ? code : "", text_in(body, "action"));
+}
+
+// Where a redirect leads; nothing where it is unreadable.
+std::optional<net::tcp::endpoint> target_of(const net::HttpReply& reply) {
+  const auto it = reply.fields.find("location");
+  if (it == reply.fields.end() || !it->second.starts_with("http://")) return {};
+  try {
+    return net::parse_address(it->second.substr(7, it->second.find('/', 7) - 7));
+  } catch (const std::invalid_argument&) {
+    return {};
+  }
 }
 
 }  // namespace
@@ -37,39 +66,48 @@
   }
   const auto until = std::chrono::steady_clock::now() + patience_;
   net::Backoff backoff(1, seed());
+  bool arrived = false;  // as far as this attempt's connection shows
   bool unknown = false;
-  std::string last = "no member can be reached";
+  std::optional<Refused> last;
+  call.connected = [&arrived] { arrived = true; };
   do {
     net::tcp::endpoint to = members_[at_ % members_.size()];
     for (int i = 0; i <= kMostRedirects; ++i) {
+      arrived = false;
       const auto reply = net::http_call(to, call);
       if (!reply) {
-        unknown = true;  // it may have arrived
+        unknown = unknown || arrived;
         break;
       }
-      if (reply->status == 307 && reply->fields.contains("location")) {
-        const std::string& where = reply->fields.at("location");
-        if (!where.starts_with("http://")) break;
-        to = net::parse_address(where.substr(7, where.find('/', 7) - 7));
+      if (reply->status == 307) {
+        const auto next = target_of(*reply);
+        if (!next) break;
+        to = *next;
         continue;
       }
       if (reply->status != 503) return *reply;
-      last = words_of(*reply);
+      last = refused_by(*reply);
       const json body = json::parse(reply->body, nullptr, false);
-      unknown = unknown || (body.is_object() && body.value("outcome", "") == "unknown");
+      unknown = unknown || text_in(body, "outcome") == "unknown";
       break;
     }
     ++at_;
     std::this_thread::sleep_for(backoff.next());
   } while (std::chrono::steady_clock::now() < until);
-  throw std::runtime_error(last +
-                           (unknown && call.method != "GET" ? "; the write may have been applied" : ""));
+  std::string none = "no member answers at";
+  for (const net::tcp::endpoint& one : members_) none += " " + net::text_of(one);
+  if (unknown && call.method != "GET") throw OutcomeUnknown(last ? last->what() : none);
+  if (last) throw Refused(*last);
+  throw NoMember(none);
 }
 
-std::string Client::get(net::HttpCall call) {
+json Client::get(net::HttpCall call) {
   const net::HttpReply reply = ask(std::move(call));
-  if (reply.status != 200) throw std::runtime_error(words_of(reply));
-  return reply.body;
+  if (reply.status != 200) throw refused_by(reply);
+  json out = json::parse(reply.body, nullptr, false);
+  if (!out.is_object())
+    throw AnswerUnreadable(reply.body.substr(0, reply.body.find_first_of("\r\n")).substr(0, 60));
+  return out;
 }
 
 void Client::watch(const std::function<bool(const std::string& line)>& line) {
--- a/registry/client.h
+++ b/registry/client.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <functional>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -19,10 +20,11 @@
       : members_(std::move(members)), patience_(patience) {}
 
   // Until some member gives an answer other than 503. Writes get an Idempotency-Key unless they have one.
-  // Throws std::runtime_error where none came in time; its text says whether the write may have been applied.
+  // Where none came in time it throws NoMember, Refused with the last 503's words, or OutcomeUnknown for a
+  // write that may have been applied.
   net::HttpReply ask(net::HttpCall call);
-  // The same, and anything but 200 is a std::runtime_error with the registry's own words.
-  std::string get(net::HttpCall call);
+  // The same, and anything but 200 is thrown as Refused. AnswerUnreadable where it holds no JSON object.
+  nlohmann::json get(net::HttpCall call);
   // Follows the list from member to member for as long as `line` returns true; each is a line of the watch.
   void watch(const std::function<bool(const std::string& line)>& line);
 
--- a/registry/follow.cpp
+++ b/registry/follow.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "client_errors.h"
 #include "net/clock.h"
 #include "net/log.h"
 #include "net/random.h"
@@ -93,7 +94,9 @@
     late = told.value("heard_ms", Millis{0});
     heed(guard_.told(told, net::text_of(at()), now_ms()));
   } catch (const std::exception& error) {
-    net::log::warn("list_unreadable", "member", net::text_of(at()), "why", error.what());
+    const auto* known = dynamic_cast<const ListUnreadable*>(&error);
+    net::log::failed(net::log::Level::kWarn, "list_unreadable", known ? *known : ListUnreadable(error.what()),
+                     "member", net::text_of(at()));
     return false;
   }
   if (guard_.holds()) {
--- a/registry/guard.cpp
+++ b/registry/guard.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "client_errors.h"
+
 namespace firspool::registry {
 
 using nlohmann::json;
@@ -23,6 +25,15 @@
           {"members", std::move(members)}};
 }
 
+template <typename Read>
+void readable(Read read) {
+  try {
+    read();
+  } catch (const json::exception& error) {
+    throw ListUnreadable(error.what());
+  }
+}
+
 bool active(const json& member) { return member.at("phase") == "active"; }
 
 }  // namespace
@@ -72,14 +83,20 @@
 }
 
 std::vector<json> ListGuard::told(const json& line, const std::string& source, Millis now) {
-  const int64_t revision = line.at("revision");
-  const bool complete = line.at("complete");
-  const std::string identity = line.value("identity", "");
+  int64_t revision = 0;
+  bool complete = false;
+  std::string identity;
+  Members named;
+  readable([&] {
+    revision = line.at("revision");
+    complete = line.at("complete");
+    identity = line.value("identity", "");
+    named = by_id(line.at("members"));
+    for (const auto& [id, member] : named) {
+      if (!member.at("phase").is_string()) throw ListUnreadable("phase of '" + id + "' is no text");
+    }
+  });
   const json& members = line.at("members");
-  const Members named = by_id(members);
-  for (const auto& [id, member] : named) {
-    if (!member.at("phase").is_string()) throw std::invalid_argument("phase is no text");
-  }
 
   if (!complete) {
     // On from the list that is held, or from the one that is known.
@@ -125,7 +142,8 @@
 }
 
 json ListGuard::restore(const json& saved) {
-  Held list{"", 0, saved.at("revision"), saved.at("identity"), by_id(saved.at("members"))};
+  Held list;
+  readable([&] { list = {"", 0, saved.at("revision"), saved.at("identity"), by_id(saved.at("members"))}; });
   return accept(std::move(list)).front();
 }
 
--- a/registry/guard.h
+++ b/registry/guard.h
@@ -27,7 +27,7 @@
   explicit ListGuard(Limits limits) : limits_(limits) {}
 
   // A line of a watch, as discovery writes them, from a source that has a name. Returns the lines to heed, in
-  // order; throws std::exception on what is no line: nothing of it is heeded.
+  // order; throws ListUnreadable on what is no line: nothing of it is heeded.
   std::vector<nlohmann::json> told(const nlohmann::json& line, const std::string& source, Millis now);
   std::vector<nlohmann::json> tick(Millis now);
 
@@ -39,7 +39,7 @@
   const std::string& holder() const { return held_->source; }  // the source of the list that is held
   uint64_t held_total() const { return held_total_; }
 
-  // To keep on disk. restore() throws std::exception on what is none; it is told as a list like any other.
+  // To keep on disk. restore() throws ListUnreadable on what is none; it is told as a list like any other.
   // With an empty identity it may be of any list.
   nlohmann::json save() const;
   nlohmann::json restore(const nlohmann::json& saved);
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -313,10 +313,7 @@
   if (listener >= 0) {
     acceptor_.assign(listen.protocol(), listener);
   } else {
-    acceptor_.open(listen.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(listen);
-    acceptor_.listen();
+    net::listen(acceptor_, listen);
   }
   accept();
   sweep();
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -6,7 +6,8 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 #include <set>
-#include <stdexcept>
+
+#include "errors.h"
 
 namespace firspool::relay {
 namespace {
@@ -34,7 +35,7 @@
 std::string needed(const char* variable) {
   const char* value = std::getenv(variable);
   if (value == nullptr || *value == '\0') {
-    throw std::invalid_argument(std::string("environment variable ") + variable + " is not set");
+    throw NoEnvironment(variable);
   }
   return value;
 }
@@ -44,13 +45,13 @@
 
 void require_keys(const json& accepted, const json& later, const std::string& path) {
   if (accepted.is_object()) {
-    if (!later.is_object()) throw std::invalid_argument(path + " is no object");
+    if (!later.is_object()) throw BadConfig(path + " is no object");
     for (const auto& [key, value] : accepted.items()) {
-      if (!later.contains(key)) throw std::invalid_argument(path + "." + key + " is missing");
+      if (!later.contains(key)) throw BadConfig(path + "." + key + " is missing");
       require_keys(value, later.at(key), path + "." + key);
     }
   } else if (accepted.is_array()) {
-    if (!later.is_array()) throw std::invalid_argument(path + " is no list");
+    if (!later.is_array()) throw BadConfig(path + " is no list");
     if (accepted.empty() || !accepted.front().is_object()) return;
     json common = accepted.front();  // of classes and the like each has what all had
     for (const auto& [key, value] : accepted.front().items()) {
@@ -62,10 +63,22 @@
   }
 }
 
+// Also what the readers of JSON, settings and addresses throw is an error of the configuration.
+template <typename Read>
+auto reading(Read read) {
+  try {
+    return read();
+  } catch (const net::Error&) {
+    throw;
+  } catch (const std::exception& error) {
+    throw BadConfig(error.what());
+  }
+}
+
 }  // namespace
 
 void require_keys(const std::string& accepted, const std::string& later) {
-  require_keys(json::parse(accepted), json::parse(later), "the file");
+  reading([&] { require_keys(json::parse(accepted), json::parse(later), "the file"); });
 }
 
 std::string flatten(const json& settings) {
@@ -81,22 +94,22 @@
   registry::FollowSettings out;
   for (const auto& [key, value] : it->items()) {
     if (key != "registry" && key != "hold_ms" && key != "most_removed")
-      throw std::invalid_argument("fleet." + key + " is not known");
+      throw BadConfig("fleet." + key + " is not known");
   }
   for (const std::string& one : it->at("registry").get<std::vector<std::string>>())
     out.members.push_back(parse_address(one));
-  if (out.members.empty()) throw std::invalid_argument("fleet.registry names no address");
+  if (out.members.empty()) throw BadConfig("fleet.registry names no address");
   out.guard.hold_ms = it->value("hold_ms", out.guard.hold_ms);
   out.guard.most_removed = it->value("most_removed", out.guard.most_removed);
-  if (out.guard.hold_ms < 0) throw std::invalid_argument("fleet.hold_ms is under 0");
+  if (out.guard.hold_ms < 0) throw BadConfig("fleet.hold_ms is under 0");
   if (!(out.guard.most_removed >= 0 && out.guard.most_removed <= 1))
-    throw std::invalid_argument("fleet.most_removed is not 0 to 1");
+    throw BadConfig("fleet.most_removed is not 0 to 1");
   out.callers = config.settings.relays;
   out.seed = config.seed;
   return out;
 }
 
-Config parse_config(const std::string& text, const std::string& state) {
+static Config read_config(const std::string& text, const std::string& state) {
   const json root = json::parse(text);
   Config out;
   out.text = text;
@@ -109,15 +122,15 @@
   const json& limits = root.at("limits");
   out.sockets = limits.at("sockets").get<size_t>();
   const double disk_mb = limits.at("disk_mb").get<double>();
-  if (out.sockets < 64) throw std::invalid_argument("limits.sockets is under 64");
-  if (!(disk_mb > 0 && disk_mb < 1e6)) throw std::invalid_argument("limits.disk_mb is out of range");
+  if (out.sockets < 64) throw BadConfig("limits.sockets is under 64");
+  if (!(disk_mb > 0 && disk_mb < 1e6)) throw BadConfig("limits.disk_mb is out of range");
   out.disk_bytes = static_cast<size_t>(disk_mb * 1e6);
   const json& settings = root.at("settings");
   out.settings = parse_settings(flatten(settings));
   std::set<std::string> classes;
   for (const ClassSettings& c : out.settings.classes) {
     if (c.name.empty() || !classes.insert(c.name).second) {
-      throw std::invalid_argument("a class has no name of its own");
+      throw BadConfig("a class has no name of its own");
     }
   }
   out.names.zones = settings.at("azs").get<std::vector<std::string>>();
@@ -129,15 +142,19 @@
   return out;
 }
 
+Config parse_config(const std::string& text, const std::string& state) {
+  return reading([&] { return read_config(text, state); });
+}
+
 Config load_config() {
   const std::string path = needed("PROXY_CONFIG");
   const std::string state = needed("PROXY_STATE");
   std::ifstream file(path, std::ios::binary);
-  if (!file) throw std::invalid_argument("cannot read " + path);
+  if (!file) throw BadConfig("cannot read " + path);
   Config out = parse_config({std::istreambuf_iterator<char>(file), {}}, state);
   // First, as it is the process's own: during an upgrade two versions may share a file.
   const char* control = std::getenv("PROXY_CONTROL");
-  if (control != nullptr && *control != '\0') out.control = parse_address(control);
+  if (control != nullptr && *control != '\0') out.control = reading([&] { return parse_address(control); });
   return out;
 }
 
--- a/relay/config.h
+++ b/relay/config.h
@@ -32,12 +32,12 @@
 // The settings as the path=value lines that parse_settings reads.
 std::string flatten(const nlohmann::json& settings);
 
-// Throws std::exception with one line that says what is missing or unreadable.
+// Throw BadConfig or NoEnvironment.
 Config parse_config(const std::string& text, const std::string& state);
 Config load_config();
 
-// Throws unless the later file has every key that the accepted one has: one without it was cut or is not
-// whole.
+// Throws BadConfig unless the later file has every key that the accepted one has: one without it was cut or
+// is not whole.
 void require_keys(const std::string& accepted, const std::string& later);
 
 }  // namespace firspool::relay
--- a/relay/control.cpp
+++ b/relay/control.cpp
@@ -166,10 +166,7 @@
 
 Control::Control(boost::asio::io_context& io, const tcp::endpoint& listen, Handle handle)
     : acceptor_(io), pause_(io), handle_(std::move(handle)) {
-  acceptor_.open(listen.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(listen);
-  acceptor_.listen();
+  net::listen(acceptor_, listen);
   accept();
 }
 
--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -16,6 +16,7 @@
 #include <thread>
 #include <vector>
 
+#include "errors.h"
 #include "net/log.h"
 
 namespace firspool::relay {
@@ -61,13 +62,13 @@
   lock_ = Descriptor(::open(lock.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
   struct stat about {};
   if (lock_.get() < 0 || ::fstat(lock_.get(), &about) != 0) {
-    throw std::runtime_error("cannot open " + lock.string() + ": " + std::strerror(errno));
+    throw StateUnusable("cannot open " + lock.string() + ": " + std::strerror(errno));
   }
   name_ = "umberhoist-" + std::to_string(about.st_dev) + "-" + std::to_string(about.st_ino);
   const auto until = std::chrono::steady_clock::now() + kMostWait;
   while (::flock(lock_.get(), LOCK_EX | LOCK_NB) != 0 && !ask()) {
     if (std::chrono::steady_clock::now() > until) {
-      throw std::runtime_error("another process owns " + folder.string() + " and does not hand over");
+      throw NotHandedOver(folder.string());
     }
     std::this_thread::sleep_for(kPoll);
   }
@@ -165,7 +166,7 @@
   if (socket.get() < 0 || ::bind(socket.get(), reinterpret_cast<const sockaddr*>(&address), size) != 0 ||
       ::listen(socket.get(), 4) != 0) {
     // Some platforms refuse local sockets. Only an upgrade under load needs one.
-    net::log::warn("no_handover", "why", std::strerror(errno));
+    net::log::failed(net::log::Level::kWarn, "no_handover", NoHandover(std::strerror(errno)));
     return;
   }
   asked_ = std::move(asked);
--- a/relay/handover.h
+++ b/relay/handover.h
@@ -47,8 +47,8 @@
  public:
   using Heard = std::function<void(std::optional<Parcel>)>;  // nothing: the other process is gone
 
-  // Waits until the folder is this process's own: free, or given by its owner. Throws std::runtime_error if
-  // it becomes neither.
+  // Waits until the folder is this process's own: free, or given by its owner. Throws StateUnusable or
+  // NotHandedOver if it becomes neither.
   Handover(boost::asio::io_context& io, const std::filesystem::path& folder);
 
   bool taken_over() const { return before_.is_open(); }
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -10,6 +10,8 @@
 #include <iterator>
 #include <stdexcept>
 
+#include "errors.h"
+
 namespace firspool::relay {
 namespace {
 
@@ -97,7 +99,7 @@
   std::error_code ignored;
   std::filesystem::remove(fresh_path_, ignored);
   file_ = ::open(path_.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
-  if (file_ < 0) throw std::runtime_error("cannot open " + path_.string() + ": " + std::strerror(errno));
+  if (file_ < 0) throw StateUnusable("cannot open " + path_.string() + ": " + std::strerror(errno));
   replay();
 }
 
@@ -120,7 +122,7 @@
   }
   size_ = at;
   if (at < bytes.size() && ::ftruncate(file_, static_cast<off_t>(at)) != 0) {
-    throw std::runtime_error("cannot cut the torn tail of " + path_.string() + ": " + std::strerror(errno));
+    throw StateUnusable("cannot cut the torn tail of " + path_.string() + ": " + std::strerror(errno));
   }
   std::vector<Recovered> left;
   for (size_t i = 0; i < recovered_.size(); ++i) {
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -22,7 +22,7 @@
 
 class Journal {
  public:
-  // Reads what is there, cuts a torn tail off and goes on behind it. Throws std::runtime_error if the folder
+  // Reads what is there, cuts a torn tail off and goes on behind it. Throws StateUnusable if the folder
   // cannot be used.
   Journal(const std::filesystem::path& folder, size_t disk_bytes);
   ~Journal();
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -44,6 +44,9 @@
     await_signal(signals, relay);
     io.run();
     return 0;
+  } catch (const net::Error& error) {  // one line, whatever reads it
+    std::fprintf(stderr, "umberhoist: %s (%s)\n", error.what(), error.action().c_str());
+    return 1;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "umberhoist: %s\n", error.what());
     return 1;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "errors.h"
 #include "net/log.h"
 
 namespace firspool::relay {
@@ -603,6 +604,10 @@
 
 void Relay::reload() {
   if (handed_over_) return;
+  const auto rejected = [this](const net::Error& error) {
+    ++counted_.reload_failure;
+    net::log::failed(net::log::Level::kWarn, "reload_rejected", error);
+  };
   try {
     Config next = load_config();
     require_keys(config_.text, next.text);
@@ -610,9 +615,10 @@
     apply(next);
     ++counted_.reload_success;
     net::log::info("reloaded");
-  } catch (const std::exception& error) {
-    ++counted_.reload_failure;
-    net::log::warn("reload_rejected", "why", error.what());
+  } catch (const net::Error& error) {
+    rejected(error);
+  } catch (const std::exception& error) {  // of the module: nothing that a file holds may end the process
+    rejected(BadConfig(error.what()));
   }
 }
 
--- /dev/null
+++ b/tests/errors_test.cpp
@@ -0,0 +1,243 @@
+// Errors as programs and operators meet them: every type, the table in docs/errors.md, the registry's client,
+// and the exit statuses of turntally.
+#include "cli/errors.h"
+
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <thread>
+
+#include "lab/errors.h"
+#include "net/http.h"
+#include "registry/client.h"
+#include "registry/client_errors.h"
+#include "relay/errors.h"
+
+namespace firspool {
+namespace {
+
+namespace fs = std::filesystem;
+
+// One of each. A type that is missing here fails EveryTypeIsWalked.
+const std::map<std::string, net::Error>& all() {
+  static const std::map<std::string, net::Error> kAll = {
+      {"net/BadInput", net::BadInput("f:1: key: is missing")},
+      {"net/CannotListen", net::CannotListen("127.0.0.1:1", "in use")},
+      {"registry/NoMember", registry::NoMember("none")},
+      {"registry/Refused", registry::Refused(409, "no")},
+      {"registry/OutcomeUnknown", registry::OutcomeUnknown("lost")},
+      {"registry/AnswerUnreadable", registry::AnswerUnreadable("hello")},
+      {"registry/ListUnreadable", registry::ListUnreadable("hello")},
+      {"relay/NoEnvironment", relay::NoEnvironment("X")},
+      {"relay/BadConfig", relay::BadConfig("no")},
+      {"relay/StateUnusable", relay::StateUnusable("no")},
+      {"relay/NotHandedOver", relay::NotHandedOver("folder")},
+      {"relay/NoHandover", relay::NoHandover("no")},
+      {"lab/NoAddresses", lab::NoAddresses()},
+      {"lab/NotStarted", lab::NotStarted("no")},
+      {"lab/RegistryNotReady", lab::RegistryNotReady(3)},
+      {"lab/NotWritten", lab::NotWritten("file")},
+      {"lab/NoPlot", lab::NoPlot("file")},
+      {"cli/WrongUse", cli::WrongUse("no")},
+      {"cli/FileUnreadable", cli::FileUnreadable("file", "no")},
+      {"cli/NotConfirmed", cli::NotConfirmed()},
+      {"cli/NotListed", cli::NotListed("e-1")},
+      {"cli/NoProgram", cli::NoProgram("--a", "file")},
+      {"cli/FolderUnusable", cli::FolderUnusable("folder", "no")},
+      {"cli/MemberNotStarted", cli::MemberNotStarted(1, "no")},
+      {"cli/MemberEnded", cli::MemberEnded(1, "no")},
+      {"cli/Unexpected", cli::Unexpected("no")},
+  };
+  return kAll;
+}
+
+std::string text_of(const fs::path& path) {
+  std::ostringstream out;
+  out << std::ifstream(path).rdbuf();
+  return out.str();
+}
+
+TEST(Errors, EveryTypeIsWalked) {
+  const std::regex derived(R"(class\s+(\w+)\s*(?:final\s*)?:\s*public\s+(?:net::)?Error\b)");
+  std::set<std::string> found;
+  for (const char* folder : {"net", "registry", "relay", "lab", "cli", "lease", "controller"}) {
+    if (!fs::exists(fs::path(SOURCE) / folder)) continue;
+    for (const auto& file : fs::directory_iterator(fs::path(SOURCE) / folder)) {
+      if (file.path().extension() != ".h" && file.path().extension() != ".cpp") continue;
+      const std::string text = text_of(file.path());
+      for (std::sregex_iterator it(text.begin(), text.end(), derived), end; it != end; ++it)
+        found.insert(std::string(folder) + "/" + (*it)[1].str());
+    }
+  }
+  std::set<std::string> walked;
+  for (const auto& [name, error] : all()) walked.insert(name);
+  EXPECT_EQ(found, walked);
+}
+
+TEST(Errors, EachHasACodeOfItsOwnAndAnActionAsItStandsInTheTable) {
+  struct Row {
+    std::string action;
+    std::string status;
+  };
+  std::map<std::string, Row> table;
+  const std::regex row(R"(\| `(\w+)` \| [^|]+ \| ([^|]+) \| ([1-4]) \|)");
+  std::istringstream lines(text_of(fs::path(SOURCE) / "docs/errors.md"));
+  for (std::string line; std::getline(lines, line);) {
+    std::smatch match;
+    if (!std::regex_match(line, match, row)) continue;
+    EXPECT_TRUE(table.emplace(match[1], Row{match[2], match[3]}).second) << match[1] << " stands there twice";
+  }
+  std::map<std::string, std::string> codes;
+  for (const auto& [name, error] : all()) {
+    const std::string code = error.code();
+    EXPECT_TRUE(codes.emplace(code, name).second) << name << " and " << codes[code] << ": " << code;
+    EXPECT_TRUE(std::regex_match(code, std::regex("[a-z_]+"))) << name << ": " << code;
+    EXPECT_FALSE(error.action().empty()) << name;
+    EXPECT_EQ((error.what() + error.action()).find('\n'), std::string::npos) << name;
+    EXPECT_EQ(table[code].action, error.action()) << name;
+    EXPECT_EQ(table[code].status, std::to_string(1 + static_cast<int>(error.family()))) << name;
+  }
+  for (const auto& [code, entry] : table) EXPECT_TRUE(codes.contains(code)) << code << " is no type's";
+}
+
+// A member that answers as a test says, on a thread of its own.
+class Member {
+ public:
+  using Say = std::function<net::HttpReply(const net::HttpRequest&)>;
+  explicit Member(Say say)
+      : server_(io_, net::parse_address("127.0.0.1:0"), {},
+                [this, say](const net::HttpRequest& request, const std::shared_ptr<net::HttpAnswer>& answer) {
+                  const net::HttpReply reply = say(request);
+                  reply.status != 0 ? answer->reply(reply) : owed_.push_back(answer);
+                }),
+        address_(server_.address()),
+        thread_([this] { io_.run(); }) {}
+  ~Member() {
+    io_.stop();
+    thread_.join();
+  }
+  net::tcp::endpoint address() const { return address_; }
+
+ private:
+  boost::asio::io_context io_;
+  std::vector<std::shared_ptr<net::HttpAnswer>> owed_;  // for ever
+  net::HttpServer server_;
+  net::tcp::endpoint address_;
+  std::thread thread_;
+};
+
+net::HttpReply says(int status, const std::string& body) { return {status, body, "application/json", {}}; }
+
+// What a call ends with: the error's code, action and family.
+template <typename Type>
+Type ends(const net::tcp::endpoint& at, const std::string& method,
+          std::chrono::milliseconds timeout = std::chrono::seconds(20)) {
+  registry::Client client({at}, std::chrono::milliseconds(200));
+  try {
+    client.get({method, "/api/targets", {}, "", timeout});
+  } catch (const Type& error) {
+    return error;
+  } catch (const net::Error& error) {
+    ADD_FAILURE() << error.code() << ": " << error.what();
+  }
+  ADD_FAILURE() << "no error of its type";
+  throw std::logic_error("unreached");
+}
+
+TEST(Errors, TheClientPassesOnTheRegistrysCodeAndAction) {
+  const Member named([](const auto&) {
+    return says(
+        409, R"({"code":"lease_fenced","error":"a\nlater grant stands","action":"stop","outcome":"none"})");
+  });
+  const auto refused = ends<registry::Refused>(named.address(), "PUT");
+  EXPECT_STREQ(refused.code(), "lease_fenced");
+  EXPECT_STREQ(refused.what(), "a later grant stands");
+  EXPECT_EQ(refused.action(), "stop");
+  EXPECT_EQ(refused.family(), net::Family::kRefused);
+  const Member plain([](const auto&) { return says(400, R"({"error":"no","code":"A B"})"); });
+  EXPECT_STREQ(ends<registry::Refused>(plain.address(), "PUT").code(), "registry_refused");
+  EXPECT_EQ(ends<registry::Refused>(plain.address(), "PUT").family(), net::Family::kMisuse);
+  const Member other([](const auto&) { return says(200, "<html>\n"); });
+  EXPECT_NE(std::string(ends<registry::AnswerUnreadable>(other.address(), "GET").what()).find("<html>"),
+            std::string::npos);
+}
+
+TEST(Errors, TheClientSaysWhatMayHaveBeenDone) {
+  net::tcp::endpoint nowhere;
+  {
+    const Member gone([](const auto&) { return says(200, "{}"); });
+    nowhere = gone.address();
+  }
+  ends<registry::NoMember>(nowhere, "GET");
+  ends<registry::NoMember>(nowhere, "PUT");  // it never arrived
+  const Member silent([](const auto&) { return says(0, ""); });
+  const auto soon = std::chrono::milliseconds(100);
+  ends<registry::NoMember>(silent.address(), "GET", soon);
+  ends<registry::OutcomeUnknown>(silent.address(), "PUT", soon);
+  const Member unsure([](const auto&) { return says(503, R"({"error":"late","outcome":"unknown"})"); });
+  EXPECT_STREQ(ends<registry::OutcomeUnknown>(unsure.address(), "PUT").what(),
+               "late; the write may have been applied");
+  ends<registry::Refused>(unsure.address(), "GET");
+  const Member leaderless(
+      [](const auto&) { return says(503, R"({"error":"none leads","outcome":"none"})"); });
+  ends<registry::Refused>(leaderless.address(), "PUT");
+}
+
+// The status of a command of turntally, and what it wrote to standard error.
+std::pair<int, std::string> turntally(const std::string& arguments) {
+  FILE* pipe =
+      ::popen((std::string(TURNTALLY) + " " + arguments + " 2>&1 >/dev/null </dev/null").c_str(), "r");
+  std::string out;
+  char bytes[512];
+  for (size_t got = 0; (got = ::fread(bytes, 1, sizeof bytes, pipe)) > 0;) out.append(bytes, got);
+  const int status = ::pclose(pipe);
+  return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, out};
+}
+
+TEST(Errors, TurntallyEndsByTheirFamilyAndSaysWhatToDo) {
+  std::string folder = ::testing::TempDir() + "errors-XXXXXX";
+  ASSERT_NE(::mkdtemp(folder.data()), nullptr);
+  std::ofstream(folder + "/list.json") << R"({"entries":[{"id":"a","host_port":"127.0.0.1:80"}]})";
+  std::atomic<int> status = 409;
+  const Member member([&status](const net::HttpRequest& request) {
+    if (request.method == "GET") return says(200, R"({"entries":[]})");
+    return says(status, R"({"code":"conflict","error":"changed","action":"look again","outcome":"unknown"})");
+  });
+  const std::string apply =
+      "targets apply " + folder + "/list.json --at " + net::text_of(member.address()) + " --yes";
+  EXPECT_EQ(turntally(apply), std::pair(3, std::string("+ a  host_port \"127.0.0.1:80\"\nturntally: changed\n"
+                                                       "  look again [conflict]\n")));
+  status = 503;  // the client's whole patience, 8 s
+  EXPECT_EQ(turntally(apply).first, 4);
+  status = 500;
+  EXPECT_EQ(turntally(apply).first, 1);
+  EXPECT_EQ(turntally("targets drain nobody --yes --at " + net::text_of(member.address())),
+            std::pair(2, std::string("turntally: 'nobody' is not listed\n"
+                                     "  see turntally targets list for the ids [not_listed]\n")));
+  EXPECT_EQ(turntally("nonsense"),
+            std::pair(2, std::string("turntally: 'nonsense' is not known\n"
+                                     "  see --help, also behind a command [wrong_use]\n")));
+  EXPECT_EQ(turntally("registry run " + folder + "/none.toml").first, 2);
+  const std::string address = net::text_of(member.address());  // where somebody listens already
+  std::ofstream(folder + "/r.toml") << "folder = \"" << folder
+                                    << "/state\"\n[[members]]\nmember = 1\nraft = \""
+                                    << "127.0.0.1:1\"\nhttp = \"" << address << "\"\n";
+  const auto [ended, why] = turntally("registry run " + folder + "/r.toml");
+  EXPECT_EQ(ended, 1);
+  EXPECT_NE(why.find("cannot listen at " + address), std::string::npos) << why;
+  EXPECT_NE(why.find("[cannot_listen]"), std::string::npos) << why;
+  fs::remove_all(folder);
+}
+
+}  // namespace
+}  // namespace firspool
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -59,7 +59,18 @@
   const std::string out = ::testing::internal::GetCapturedStderr();
   EXPECT_EQ(out.find("small"), std::string::npos);
   EXPECT_NE(out.find(" level=error event=large n=2\n"), std::string::npos) << out;
-  EXPECT_THROW(log::set_level("loud"), std::invalid_argument);
+  EXPECT_THROW(log::set_level("loud"), BadInput);
+}
+
+TEST(Log, CarriesAnErrorsCodeAndAction) {
+  ::testing::internal::CaptureStderr();
+  log::failed(log::Level::kWarn, "rejected", BadInput("f:1: no"), "by", "me");
+  const std::string out = ::testing::internal::GetCapturedStderr();
+  EXPECT_NE(
+      out.find(" level=warning event=rejected by=me code=bad_input what=\"f:1: no\" action=\"mend what is "
+               "named, and ask again\"\n"),
+      std::string::npos)
+      << out;
 }
 
 }  // namespace
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -9,6 +9,7 @@
 #include "clients.h"
 #include "config.h"
 #include "discovery.h"
+#include "errors.h"
 #include "journal.h"
 #include "peers.h"
 #include "resp.h"
@@ -29,7 +30,7 @@
   try {
     parse_config(config.dump(), "/tmp");
     FAIL();
-  } catch (const std::exception& error) {
+  } catch (const BadConfig& error) {
     EXPECT_NE(std::string(error.what()).find("bounds.open_cap"), std::string::npos);
   }
 }
--- a/tests/registry_play_test.cpp
+++ b/tests/registry_play_test.cpp
@@ -15,6 +15,7 @@
 #include "lab/report.h"
 #include "net/lines.h"
 #include "net/random.h"
+#include "registry/client_errors.h"
 #include "registry/config.h"
 #include "registry/guard.h"
 #include "registry/replica.h"
@@ -171,9 +172,10 @@
   EXPECT_EQ(again.restore(guard.save())["members"].size(), 10U);
   EXPECT_EQ(again.revision(), 10);
   EXPECT_EQ(again.identity(), "one");
-  EXPECT_ANY_THROW(
-      guard.told(json::parse(R"({"revision":11,"complete":false,"members":[{"id":"x"}]})"), "a", 0));
-  EXPECT_ANY_THROW(guard.told(json::array(), "a", 0));
+  const json cut = json::parse(R"({"revision":11,"complete":false,"members":[{"id":"x"}]})");
+  EXPECT_THROW(guard.told(cut, "a", 0), registry::ListUnreadable);
+  EXPECT_THROW(guard.told(json::array(), "a", 0), registry::ListUnreadable);
+  EXPECT_THROW(guard.restore(json::object()), registry::ListUnreadable);
   EXPECT_EQ(guard.known().size(), 10U);
 }
 
