Leases: the holder's shell, over HTTP to any of the registry's members

A process that wants a lease needs the core of the holder on its event loop: a call each time the core asks, to a registry of which a member may be gone, behind, stopped or not the leader.

lease/calls: a call that is safe to repeat goes to the member that answered last, follows redirects, and after a failure or half of an answer's time to the next one. lease/shell: the core's clock is CLOCK_BOOTTIME (a machine that sleeps does not stop its lease), with a rate for tests of drift; close() waits until the core has nothing to give back, which counts a campaign that is still out.

Taken out and seen to fail, each by one test: the next member, redirects, the clock's rate, the wait for a campaign that is out, the bound on the end, asked_back once.

--- /dev/null
+++ b/lease/calls.h
@@ -0,0 +1,41 @@
+// Calls to a registry of several members, on a loop: redirects are followed, and on failure the next member
+// is asked until the call's time is over. So each call must be safe to repeat.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "net/address.h"
+#include "net/http.h"
+
+namespace firspool::lease {
+
+class Calls {
+ public:
+  using Done = std::function<void(std::optional<net::HttpReply>)>;
+
+  // `answer`: a member that takes longer is left for the next one.
+  Calls(boost::asio::io_context& io, std::vector<net::tcp::endpoint> members,
+        std::chrono::milliseconds answer, uint64_t seed);
+
+  // `done` is called once: with an answer other than 503, or when `call.timeout` is over with the last 503,
+  // or with nothing; never from here, and not after this has gone.
+  void call(net::HttpCall call, Done done);
+
+ private:
+  struct Shared {
+    boost::asio::io_context& io;
+    std::vector<net::tcp::endpoint> members;
+    std::chrono::milliseconds answer;
+    net::tcp::endpoint at;  // who is asked first: the one that answered last
+    size_t next = 0;
+  };
+  class Attempt;
+  std::shared_ptr<Shared> shared_;
+};
+
+}  // namespace firspool::lease
--- /dev/null
+++ b/lease/shell.h
@@ -0,0 +1,76 @@
+// The shell of lease::Holder on Asio: its calls go to the registry's members over HTTP, its clock is
+// CLOCK_BOOTTIME, so that the time of a machine that sleeps counts.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "calls.h"
+#include "holder.h"
+
+namespace firspool::lease {
+
+struct ShellSettings {
+  HolderSettings holder;
+  std::vector<net::tcp::endpoint> members;
+  double clock_rate = 1;  // for tests of drift: how fast this process's clock runs, 0.9 to 1.1
+};
+
+class Shell {
+ public:
+  // None is called from within a call of the shell's user.
+  struct Listener {
+    std::function<void(Token token, const std::string& record)> begin;  // acts may begin
+    std::function<void(const std::string& why)> stop;                   // none may begin any more
+    std::function<void()> asked_back;  // somebody else is to have it: end soon, then give_back()
+  };
+  enum class Recorded { kDone, kFenced, kFailed };  // kFailed: it may have been taken
+
+  Shell(boost::asio::io_context& io, const ShellSettings& settings, Listener listener);
+  ~Shell();
+
+  void start();
+  // Nothing is out any more and the lease goes to the next in line; this one goes to the line's end.
+  void give_back();
+  // Gives the lease or the place in line back, and campaigns no more. `closed` once that has been answered,
+  // or nobody has in two times `answer`.
+  void close(std::function<void()> closed);
+
+  // Right before each act: says no without the loop's help, also in a process that was stopped.
+  bool held() const { return holder_.held(now()); }
+  std::chrono::milliseconds left() const;  // of the time in which acts may begin
+  Token token() const { return holder_.token(); }
+  bool asked_back() const { return holder_.asked_back(); }
+  const HolderSettings& settings() const { return settings_.holder; }
+  size_t place() const { return place_; }  // in line; 0: not known to wait
+
+  // For the successor: what has been done so far. Only while held(), one at a time.
+  void record(const std::string& text, std::function<void(Recorded)> done);
+
+ private:
+  Time now() const;
+  void take(const std::vector<Action>& actions);
+  void send(const Ask& ask);
+  void wait();
+  void deliver(std::function<void()> event);
+  void say_closed();
+
+  boost::asio::io_context& io_;
+  ShellSettings settings_;
+  Listener listener_;
+  Holder holder_;
+  Calls calls_;
+  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer closing_;
+  std::function<void()> closed_;
+  bool ends_ = false;       // close() was called
+  bool told_back_ = false;  // asked_back() was said for this grant
+  size_t place_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace firspool::lease
