Controller: tasks of the fleet, each under a lease, and their kinds call, backup and mirror

What the fleet does once needs a process that may die and whose successor goes on, with no two that act at once. `turntally controller run CONFIG.toml` campaigns for a lease for each task. What is shared by tasks: acts carry the token and are begun only while the lease is held, end with the time in which acts may begin, and the lease goes back once none is out (hand-over, SIGTERM, a fence met). `mirror` writes discovery's list, from one watch, and confirms it.

--- a/cli/command.h
+++ b/cli/command.h
@@ -31,6 +31,7 @@
 };
 
 // Each adds its subcommands; what is chosen leaves its exit status in `status`.
+void add_controller(CLI::App& app, int& status);
 void add_lab(CLI::App& app, int& status);
 void add_registry(CLI::App& app, int& status);
 void add_targets(CLI::App& app, int& status);
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -38,6 +38,7 @@
       "Example: turntally lab run lab/scenarios/calm.toml");
   app.require_subcommand(1);
   int status = cli::kHeld;
+  cli::add_controller(app, status);
   cli::add_lab(app, status);
   cli::add_registry(app, status);
   cli::add_targets(app, status);
--- /dev/null
+++ b/controller/config.h
@@ -0,0 +1,53 @@
+// The controller's configuration, in TOML.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lease/holder.h"
+#include "net/address.h"
+
+namespace firspool::controller {
+
+struct CallKeys {
+  std::vector<net::tcp::endpoint> addresses;
+  std::string path;
+  int every_ms = 0;
+  int timeout_ms = 0;
+};
+struct BackupKeys {
+  std::string folder;
+  int every_s = 0;
+  int keep = 0;
+};
+struct MirrorKeys {
+  net::tcp::endpoint discovery;
+  std::string source;
+};
+
+struct TaskConfig {
+  enum class Kind { kCall, kBackup, kMirror };
+  Kind kind = Kind::kCall;
+  std::string name;  // of its lease
+  CallKeys call;     // of the three, its kind's
+  BackupKeys backup;
+  MirrorKeys mirror;
+};
+
+struct Config {
+  std::string holder;                      // of this process, new with each start
+  std::optional<net::tcp::endpoint> http;  // for /status and /metrics
+  double clock_rate = 1;                   // for tests of drift
+  std::vector<net::tcp::endpoint> registry;
+  lease::HolderSettings lease;  // but for the names
+  std::vector<TaskConfig> tasks;
+};
+
+// Throws net::BadInput, "FILE:LINE: KEY: what is wrong".
+Config read_config(const std::string& path);
+Config read_config_text(const std::string& name, const std::string& toml);
+
+const char* name_of(TaskConfig::Kind kind);
+
+}  // namespace firspool::controller
--- /dev/null
+++ b/controller/controller.cpp
@@ -0,0 +1,70 @@
+#include "controller.h"
+
+#include <nlohmann/json.hpp>
+
+#include "net/clock.h"
+
+namespace firspool::controller {
+
+using nlohmann::json;
+
+Controller::Controller(boost::asio::io_context& io, const Config& config) : config_(config) {
+  if (config.http) {
+    net::HttpLimits limits;
+    limits.connections = 100;
+    limits.body = 64 * 1024;
+    server_ = std::make_unique<net::HttpServer>(
+        io, *config.http, limits,
+        [this](const net::HttpRequest& request, const std::shared_ptr<net::HttpAnswer>& answer) {
+          if (request.method == "GET" && request.path == "/status")
+            return answer->reply({200, status().dump() + "\n", "application/json", {}});
+          if (request.method == "GET" && request.path == "/metrics")
+            return answer->reply({200, metrics(), "text/plain; version=0.0.4", {}});
+          const json body = {{"code", "call_unknown"},
+                             {"error", "no such call"},
+                             {"action", "GET /status or /metrics"},
+                             {"outcome", "none"}};
+          answer->reply({404, body.dump() + "\n", "application/json", {}});
+        });
+  }
+  for (const TaskConfig& one : config.tasks) tasks_.push_back(make_task(io, config_, one));
+  for (const auto& task : tasks_) task->start();
+}
+
+void Controller::close(std::function<void()> closed) {
+  open_ = tasks_.size();
+  for (const auto& task : tasks_) {
+    task->close([this, closed] {
+      if (--open_ == 0) closed();
+    });
+  }
+}
+
+json Controller::status() const {
+  json tasks = json::array();
+  for (const auto& task : tasks_) tasks.push_back(task->status());
+  return {{"holder", config_.holder}, {"tasks", tasks}};
+}
+
+std::string Controller::metrics() const {
+  std::string out;
+  const auto each = [&](const char* metric, const char* kind, auto value) {
+    out += std::string("# TYPE controller_") + metric + " " + kind + "\n";
+    for (const auto& task : tasks_)
+      out += std::string("controller_") + metric + "{task=\"" + task->name() + "\"} " +
+             std::to_string(value(*task)) + "\n";
+  };
+  each("held", "gauge", [](const Task& task) { return task.held() ? 1 : 0; });
+  each("token", "gauge", [](const Task& task) { return task.token(); });
+  each("grants_total", "counter", [](const Task& task) { return task.figures().grants; });
+  each("acts_total", "counter", [](const Task& task) { return task.figures().acts; });
+  each("failures_total", "counter", [](const Task& task) { return task.figures().failures; });
+  each("fenced_total", "counter", [](const Task& task) { return task.figures().fenced; });
+  each("acted_seconds", "gauge", [](const Task& task) {  // ago; -1: never in this process
+    const net::Time at = task.figures().acted;
+    return at == 0 ? -1.0 : static_cast<double>(net::steady_now() - at) / 1e6;
+  });
+  return out;
+}
+
+}  // namespace firspool::controller
--- /dev/null
+++ b/controller/errors.h
@@ -0,0 +1,58 @@
+// controller: runs the fleet's tasks, each under a lease of its own. This one: what goes wrong, as types.
+#pragma once
+
+#include "net/error.h"
+
+namespace firspool::controller {
+
+// No answer that says what happened: it may have been done.
+class NoAnswer : public net::Error {
+ public:
+  explicit NoAnswer(const std::string& who)
+      : Error("no_answer", net::Family::kUnknown, who + " does not answer in time",
+              "look at that process and the path to it; the task goes on by itself") {}
+};
+
+// A changed thing, or the registry, has seen a later holder of this lease.
+class Fenced : public net::Error {
+ public:
+  explicit Fenced(const std::string& who)
+      : Error(
+            "lease_fenced", net::Family::kRefused, who + " has seen a later holder of this lease",
+            "nothing, after a hand-over or a stop of this process; where it comes again and again, look for "
+            "another registry whose controllers change the same things") {}
+};
+
+// Asked rightly, and refused: a status that is neither well nor a fence.
+class Refused : public net::Error {
+ public:
+  Refused(const std::string& who, int status, const std::string& why)
+      : Error("call_refused", net::Family::kRefused,
+              who + " answers with status " + std::to_string(status) + (why.empty() ? "" : ": " + why),
+              "look at what it says and at the task's keys") {}
+};
+
+// A backup that must not take the place of an older one.
+class BackupBroken : public net::Error {
+ public:
+  explicit BackupBroken(const std::string& what)
+      : Error("backup_broken", net::Family::kBroken, what,
+              "older backups are kept; look at the registry's members and at the folder's disk") {}
+};
+
+class FolderUnusable : public net::Error {
+ public:
+  explicit FolderUnusable(const std::string& what)
+      : Error("folder_unusable", net::Family::kBroken, what,
+              "make room, or make the folder writable for the controller; it tries again by itself") {}
+};
+
+// Discovery's list cannot be read, or is not there.
+class WatchBroken : public net::Error {
+ public:
+  explicit WatchBroken(const std::string& what)
+      : Error("watch_broken", net::Family::kBroken, what,
+              "look at discovery; relays go on with the list they have") {}
+};
+
+}  // namespace firspool::controller
--- /dev/null
+++ b/controller/mirror.cpp
@@ -0,0 +1,223 @@
+#include "mirror.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "net/clock.h"
+#include "net/log.h"
+
+namespace firspool::controller {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using Error = boost::system::error_code;
+
+namespace {
+
+constexpr milliseconds kSilence{3000};  // of a watch: an empty line is due every 2 s
+constexpr milliseconds kConfirm{1000};
+constexpr milliseconds kCall{2000};
+
+// Also throws on what is well-formed JSON and no list.
+json parsed(const std::string& text) {
+  json line = json::parse(text, nullptr, false);
+  const auto is = [&](const char* key, bool (json::*kind)() const noexcept) {
+    return line.contains(key) && (line[key].*kind)();
+  };
+  if (!line.is_object() || !is("revision", &json::is_number_integer) || !is("complete", &json::is_boolean) ||
+      !is("members", &json::is_array))
+    throw WatchBroken("discovery's line is no list");
+  for (const json& one : line["members"]) {
+    if (!one.is_object() || !one.contains("id") || !one["id"].is_string() || !one.contains("phase") ||
+        !one["phase"].is_string())
+      throw WatchBroken("discovery's list has an entry without id or phase");
+  }
+  return {{"revision", line["revision"]}, {"complete", line["complete"]}, {"members", line["members"]}};
+}
+
+}  // namespace
+
+void MirrorLines::merge(json& into, const json& line) {
+  if (!into.is_object() || line["complete"].get<bool>()) return void(into = line);
+  into["revision"] = line["revision"];
+  json& members = into["members"];
+  for (const json& one : line["members"]) {
+    const auto it = std::find_if(members.begin(), members.end(),
+                                 [&](const json& known) { return known["id"] == one["id"]; });
+    // A whole list says that one has left by not naming it.
+    if (into["complete"].get<bool>() && one["phase"] == "left") {
+      if (it != members.end()) members.erase(it);
+    } else if (it != members.end()) {
+      *it = one;
+    } else {
+      members.push_back(one);
+    }
+  }
+}
+
+void MirrorLines::told(const std::string& text) {
+  const json line = parsed(text);
+  const int64_t revision = line["revision"];
+  if (!line["complete"].get<bool>()) {
+    if (revision_ < 0) throw WatchBroken("discovery tells a change where the whole list was asked for");
+    if (revision < revision_)
+      throw WatchBroken("discovery goes back from revision " + std::to_string(revision_) + " to " +
+                        std::to_string(revision));
+    if (line["members"].empty()) return void(revision_ = revision);
+  }
+  merge(pending_, line);
+  revision_ = revision;
+}
+
+void MirrorLines::put_back(const json& line) {
+  json since = std::exchange(pending_, line);
+  if (since.is_object()) merge(pending_, since);
+}
+
+void MirrorLines::forget() {
+  pending_ = {};
+  revision_ = -1;
+}
+
+MirrorTask::MirrorTask(boost::asio::io_context& io, const Config& config, const TaskConfig& task)
+    : Task(io, config, task), pause_(io), retry_(io), confirm_(io), backoff_(1, config.lease.seed) {}
+
+void MirrorTask::begun(const std::string&) {
+  identity_.clear();
+  written_ = 0;
+  out_now_ = false;
+  backoff_.reset();
+  anew();
+  confirm_later();
+}
+
+void MirrorTask::ended() {
+  if (stream_) stream_->close();
+  stream_.reset();
+  lines_.forget();
+  pause_.cancel();
+  retry_.cancel();
+  confirm_.cancel();
+}
+
+int64_t MirrorTask::age_ms() const { return written_ == 0 ? -1 : (net::steady_now() - written_) / 1000; }
+
+void MirrorTask::anew() {
+  if (stream_) stream_->close();
+  stream_.reset();
+  lines_.forget();
+  retry_.cancel();
+  fetch();
+}
+
+void MirrorTask::later(void (MirrorTask::*what)()) {
+  pause_.expires_after(backoff_.next());
+  pause_.async_wait([this, what](const Error& error) {
+    if (!error && may_act()) (this->*what)();
+  });
+}
+
+void MirrorTask::fetch() {
+  ask(config_.mirror.discovery, {"GET", "/api/targets", {}, "", kCall},
+      [this](const std::optional<net::HttpReply>& reply) {
+        if (!may_act()) return;
+        if (!went_well("discovery", reply)) return later(&MirrorTask::anew);
+        try {
+          lines_.told(reply->body);
+        } catch (const net::Error& error) {
+          failed(error);
+          return later(&MirrorTask::anew);
+        }
+        write();
+        connect();
+      });
+}
+
+void MirrorTask::connect() {
+  const auto self = std::make_shared<net::Lines*>(nullptr);
+  alive_watch_ = false;
+  stream_ = std::make_shared<net::Lines>(
+      io_, config_.mirror.discovery, kSilence, [this](const std::string& text) { return line(text); },
+      [this, self] {
+        if (*self != stream_.get()) return;
+        stream_->close();
+        stream_.reset();
+        failed(WatchBroken("the watch at discovery has ended"));
+        // From what is known; where that has been spoilt, from the start.
+        later(lines_.revision() < 0 ? &MirrorTask::anew : &MirrorTask::connect);
+      });
+  *self = stream_.get();
+  stream_->start("/api/targets?stream=1&index=" + std::to_string(lines_.revision()));
+}
+
+bool MirrorTask::line(const std::string& text) {
+  try {
+    if (text.find_first_not_of(" \r\t") != std::string::npos) lines_.told(text);
+  } catch (const net::Error& error) {
+    failed(error);
+    lines_.forget();
+    return false;
+  }
+  alive_watch_ = true;
+  backoff_.reset();
+  write();
+  return true;
+}
+
+void MirrorTask::write() {
+  if (out_now_ || lines_.empty() || !may_act()) return;
+  put(lines_.take());
+}
+
+void MirrorTask::put(const json& line) {
+  json body = line;
+  body["source"] = config_.mirror.source;
+  out_now_ = true;
+  act_at_registry({"PUT", "/api/mirror", {{"Content-Type", "application/json"}}, body.dump(), kCall},
+                  [this, line](const std::optional<net::HttpReply>& reply) { written(line, reply); });
+}
+
+void MirrorTask::written(const json& line, const std::optional<net::HttpReply>& reply) {
+  out_now_ = false;
+  const bool well = went_well("the registry", reply);
+  if (!may_act()) {
+    if (well) acted();
+    return;
+  }
+  if (!well) {
+    // Refused as it is: what the registry has is not known to be what discovery told.
+    if (reply && reply->status < 500) return later(&MirrorTask::anew);
+    lines_.put_back(line);
+    retry_.expires_after(backoff_.next());
+    return retry_.async_wait([this](const Error& error) {
+      if (!error) write();
+    });
+  }
+  acted();
+  written_ = net::steady_now();
+  const json answer = json::parse(reply->body, nullptr, false);
+  const std::string identity = answer.is_object() ? answer.value("identity", "") : "";
+  // Another list stands there since: a restored one, which knows less.
+  const std::string before = std::exchange(identity_, identity);
+  if (!before.empty() && before != identity) return anew();
+  write();
+}
+
+void MirrorTask::confirm_later() {
+  confirm_.expires_after(kConfirm);
+  confirm_.async_wait([this](const Error& error) {
+    if (error) return;
+    if (may_act() && alive_watch_ && stream_ && !out_now_ && lines_.empty())
+      put({{"revision", lines_.revision()}, {"complete", false}, {"members", json::array()}});
+    confirm_later();
+  });
+}
+
+void MirrorTask::add_status(json& to) const {
+  to["state"] = held() ? "acts" : "waits";
+  to["revision"] = lines_.revision();
+  to["age_ms"] = age_ms();
+  to["watches"] = stream_ != nullptr && alive_watch_;
+}
+
+}  // namespace firspool::controller
--- /dev/null
+++ b/controller/task.cpp
@@ -0,0 +1,219 @@
+#include "task.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "backup.h"
+#include "call.h"
+#include "mirror.h"
+#include "net/clock.h"
+#include "net/log.h"
+#include "net/random.h"
+
+namespace firspool::controller {
+namespace {
+
+namespace log = net::log;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+lease::ShellSettings shell_settings(const Config& config, const TaskConfig& task) {
+  lease::ShellSettings out;
+  out.holder = config.lease;
+  out.holder.name = task.name;
+  out.holder.holder = config.holder;
+  // Tasks of one process must not ask at the same moments.
+  out.holder.seed = net::mix(config.lease.seed ^ std::hash<std::string>()(task.name));
+  out.members = config.registry;
+  out.clock_rate = config.clock_rate;
+  return out;
+}
+
+}  // namespace
+
+Task::Task(boost::asio::io_context& io, const Config& config, TaskConfig task)
+    : io_(io),
+      config_(std::move(task)),
+      holder_(config.holder),
+      calls_(io, config.registry, milliseconds(std::max<int64_t>(config.lease.answer / 1000, 20)),
+             config.lease.seed),
+      shell_(io, shell_settings(config, config_),
+             {[this](lease::Token token, const std::string& record) { begin(token, record); },
+              [this](const std::string& why) { stop(why); }, [this] { wind_down(); }}) {}
+
+Task::~Task() { *alive_ = false; }
+
+Task::Out::~Out() {
+  if (!*alive_) return;
+  --task_->outs_;
+  if (task_->outs_ == 0 && task_->winds_down_) task_->wind_down();
+}
+
+std::shared_ptr<Task::Out> Task::out() { return std::make_shared<Out>(*this); }
+
+void Task::begin(lease::Token token, const std::string& record) {
+  if (closes_) return;
+  grant_ = ++grants_;
+  token_ = token;
+  winds_down_ = false;
+  gave_up_ = false;
+  ++figures_.grants;
+  log::info("lease_held", "task", config_.name, "token", token, "record_bytes", record.size());
+  begun(record);
+}
+
+void Task::end_grant() {
+  if (std::exchange(token_, 0) == 0) return;
+  grant_ = 0;
+  ended();
+}
+
+void Task::stop(const std::string& why) {
+  log::info("lease_ended", "task", config_.name, "why", why);
+  winds_down_ = closes_;
+  end_grant();
+}
+
+// What is out still has its grant: the lease goes back when the last of it is in.
+void Task::wind_down() {
+  if (!std::exchange(winds_down_, true)) {
+    log::info("lease_wanted_back", "task", config_.name, "out", outs_);
+    ended();
+  }
+  if (outs_ > 0) return;
+  if (closes_) {
+    shell_.close([this] {
+      end_grant();
+      if (const auto closed = std::exchange(closed_, nullptr)) closed();
+    });
+  } else {
+    shell_.give_back();
+  }
+}
+
+void Task::give_up() {
+  gave_up_ = true;
+  if (!winds_down_) wind_down();
+}
+
+void Task::close(std::function<void()> closed) {
+  closes_ = true;
+  closed_ = std::move(closed);
+  wind_down();
+}
+
+void Task::add_fields(net::HttpCall& call) const {
+  call.fields["X-Lease"] = config_.name;
+  call.fields["X-Lease-Token"] = std::to_string(token_);
+  call.fields["X-Lease-Holder"] = holder_;
+}
+
+Task::Done Task::of_this_grant(Done done) {
+  return [out = out(), done = std::move(done)](const std::optional<net::HttpReply>& reply) {
+    if (out->stands()) done(reply);
+  };
+}
+
+void Task::act(const net::tcp::endpoint& to, net::HttpCall call, Done done) {
+  add_fields(call);
+  call.timeout = std::min(call.timeout, std::max(shell_.left(), milliseconds(1)));
+  net::http_call(io_, to, std::move(call), of_this_grant(std::move(done)));
+}
+
+void Task::act_at_registry(net::HttpCall call, Done done) {
+  add_fields(call);
+  call.timeout = std::min(call.timeout, std::max(shell_.left(), milliseconds(1)));
+  calls_.call(std::move(call), of_this_grant(std::move(done)));
+}
+
+void Task::ask(const net::tcp::endpoint& to, net::HttpCall call, Done done) {
+  net::http_call(io_, to, std::move(call), of_this_grant(std::move(done)));
+}
+
+void Task::ask_registry(net::HttpCall call, Done done) {
+  calls_.call(std::move(call), of_this_grant(std::move(done)));
+}
+
+void Task::keep(const json& record, std::function<void()> done) {
+  if (shell_.token() != token_ || !shell_.held()) return;
+  shell_.record(record.dump(), [this, out = out(), done = std::move(done)](lease::Shell::Recorded how) {
+    if (!out->stands()) return;
+    switch (how) {
+      case lease::Shell::Recorded::kDone:
+        return done();
+      case lease::Shell::Recorded::kFenced:
+        ++figures_.fenced;
+        failed(Fenced("the registry"));
+        return give_up();
+      case lease::Shell::Recorded::kFailed:
+        failed(NoAnswer("the registry, told what is done,"));
+        return done();  // the next one says it too; a successor repeats what was not kept
+    }
+  });
+}
+
+bool Task::went_well(const std::string& who, const std::optional<net::HttpReply>& reply) {
+  if (!reply) {
+    failed(NoAnswer(who));
+    return false;
+  }
+  if (reply->status >= 200 && reply->status < 300) return true;
+  const json body = json::parse(reply->body, nullptr, false);
+  const auto text = [&](const char* key) {
+    return body.is_object() && body.contains(key) && body[key].is_string() ? body[key].get<std::string>()
+                                                                           : "";
+  };
+  if (reply->status == 409 && text("code") == "lease_fenced") {
+    ++figures_.fenced;
+    failed(Fenced(who));
+    give_up();
+    return false;
+  }
+  failed(Refused(who, reply->status, text("error")));
+  return false;
+}
+
+void Task::failed(const net::Error& error) {
+  ++figures_.failures;
+  const json shown = {{"code", error.code()}, {"error", error.what()}, {"action", error.action()}};
+  log::warn("task_failed", "task", config_.name, "code", error.code(), "why", error.what(), "action",
+            error.action());
+  last_error_ = shown;
+  last_error_["at_ms"] = net::wall_now() / 1000;
+}
+
+void Task::acted() {
+  ++figures_.acts;
+  figures_.acted = net::steady_now();
+}
+
+json Task::status() const {
+  json out = {{"name", config_.name},
+              {"kind", name_of(config_.kind)},
+              {"held", held()},
+              {"token", token()},
+              {"left_ms", shell_.left().count()},
+              {"place", shell_.place()},
+              {"wanted_back", winds_down_},
+              {"out", outs_},
+              {"acts", figures_.acts},
+              {"failures", figures_.failures},
+              {"fenced", figures_.fenced},
+              {"last_error", last_error_}};
+  add_status(out);
+  return out;
+}
+
+std::unique_ptr<Task> make_task(boost::asio::io_context& io, const Config& config, const TaskConfig& task) {
+  switch (task.kind) {
+    case TaskConfig::Kind::kCall:
+      return std::make_unique<CallTask>(io, config, task);
+    case TaskConfig::Kind::kBackup:
+      return std::make_unique<BackupTask>(io, config, task);
+    case TaskConfig::Kind::kMirror:
+      return std::make_unique<MirrorTask>(io, config, task);
+  }
+  return nullptr;
+}
+
+}  // namespace firspool::controller
