--- a/controller/mirror.cpp
+++ b/controller/mirror.cpp
@@ -16,7 +16,7 @@
 
 constexpr milliseconds kSilence{3000};  // of a watch: an empty line is due every 2 s
 constexpr milliseconds kConfirm{1000};
-constexpr milliseconds kCall{2000};
+constexpr milliseconds kCall{3000};
 
 // Also throws on what is well-formed JSON and no list.
 json parsed(const std::string& text) {
@@ -92,21 +92,22 @@
 }
 
 void MirrorTask::ended() {
-  if (stream_) stream_->close();
-  stream_.reset();
-  lines_.forget();
+  drop();
   pause_.cancel();
-  retry_.cancel();
   confirm_.cancel();
 }
 
 int64_t MirrorTask::age_ms() const { return written_ == 0 ? -1 : (net::steady_now() - written_) / 1000; }
 
-void MirrorTask::anew() {
+void MirrorTask::drop() {
   if (stream_) stream_->close();
   stream_.reset();
   lines_.forget();
   retry_.cancel();
+}
+
+void MirrorTask::anew() {
+  drop();
   fetch();
 }
 
@@ -159,7 +160,6 @@
     return false;
   }
   alive_watch_ = true;
-  backoff_.reset();
   write();
   return true;
 }
@@ -185,8 +185,11 @@
     return;
   }
   if (!well) {
-    // Refused as it is: what the registry has is not known to be what discovery told.
-    if (reply && reply->status < 500) return later(&MirrorTask::anew);
+    // Refused as it is: what the registry has is not what discovery told, so nothing must confirm it.
+    if (reply && reply->status < 500) {
+      drop();
+      return later(&MirrorTask::anew);
+    }
     lines_.put_back(line);
     retry_.expires_after(backoff_.next());
     return retry_.async_wait([this](const Error& error) {
@@ -194,6 +197,7 @@
     });
   }
   acted();
+  backoff_.reset();
   written_ = net::steady_now();
   const json answer = json::parse(reply->body, nullptr, false);
   const std::string identity = answer.is_object() ? answer.value("identity", "") : "";
--- a/controller/mirror.h
+++ b/controller/mirror.h
@@ -43,6 +43,7 @@
   void ended() override;
   void add_status(nlohmann::json& to) const override;
 
+  void drop();  // what is known of discovery's list
   void anew();  // with the whole list
   void fetch();
   void connect();
--- a/controller/task.cpp
+++ b/controller/task.cpp
@@ -35,8 +35,7 @@
     : io_(io),
       config_(std::move(task)),
       holder_(config.holder),
-      calls_(io, config.registry, milliseconds(std::max<int64_t>(config.lease.answer / 1000, 20)),
-             config.lease.seed),
+      calls_(io, config.registry, config.lease.seed),
       shell_(io, shell_settings(config, config_),
              {[this](lease::Token token, const std::string& record) { begin(token, record); },
               [this](const std::string& why) { stop(why); }, [this] { wind_down(); }}) {}
@@ -126,12 +125,20 @@
   calls_.call(std::move(call), of_this_grant(std::move(done)));
 }
 
+// Reads change nothing: the lease goes back without them.
+Task::Done Task::while_it_stands(Done done) {
+  return [this, alive = alive_, grant = grant_,
+          done = std::move(done)](const std::optional<net::HttpReply>& reply) {
+    if (*alive && grant_ == grant) done(reply);
+  };
+}
+
 void Task::ask(const net::tcp::endpoint& to, net::HttpCall call, Done done) {
-  net::http_call(io_, to, std::move(call), of_this_grant(std::move(done)));
+  net::http_call(io_, to, std::move(call), while_it_stands(std::move(done)));
 }
 
 void Task::ask_registry(net::HttpCall call, Done done) {
-  calls_.call(std::move(call), of_this_grant(std::move(done)));
+  calls_.call(std::move(call), while_it_stands(std::move(done)));
 }
 
 void Task::keep(const json& record, std::function<void()> done) {
@@ -194,6 +201,7 @@
               {"token", token()},
               {"left_ms", shell_.left().count()},
               {"place", shell_.place()},
+              {"lease_trouble", shell_.trouble()},
               {"wanted_back", winds_down_},
               {"out", outs_},
               {"acts", figures_.acts},
--- a/controller/task.h
+++ b/controller/task.h
@@ -80,6 +80,7 @@
   void wind_down();
   void add_fields(net::HttpCall& call) const;
   Done of_this_grant(Done done);
+  Done while_it_stands(Done done);
   void end_grant();
 
   lease::Calls calls_;
--- a/lease/calls.cpp
+++ b/lease/calls.cpp
@@ -45,7 +45,7 @@
     if (!shared) return;
     const auto left = std::chrono::duration_cast<milliseconds>(until_ - Clock::now());
     net::HttpCall one = call_;
-    one.timeout = std::min(std::max(left, kShortest), shared->answer);
+    one.timeout = std::max(std::min(left, call_.timeout / 2), kShortest);
     net::http_call(shared->io, shared->at, std::move(one),
                    [self = shared_from_this(), to = shared->at](std::optional<net::HttpReply> reply) {
                      self->answered(to, std::move(reply));
@@ -87,9 +87,8 @@
   std::optional<net::HttpReply> last_;
 };
 
-Calls::Calls(boost::asio::io_context& io, std::vector<net::tcp::endpoint> members, milliseconds answer,
-             uint64_t seed)
-    : shared_(std::make_shared<Shared>(Shared{io, std::move(members), answer, {}, 0})) {
+Calls::Calls(boost::asio::io_context& io, std::vector<net::tcp::endpoint> members, uint64_t seed)
+    : shared_(std::make_shared<Shared>(Shared{io, std::move(members), {}, 0})) {
   net::Random(seed, 11).shuffle(shared_->members);
   shared_->at = shared_->members[shared_->next++];
 }
--- a/lease/calls.h
+++ b/lease/calls.h
@@ -18,19 +18,17 @@
  public:
   using Done = std::function<void(std::optional<net::HttpReply>)>;
 
-  // `answer`: a member that takes longer is left for the next one.
-  Calls(boost::asio::io_context& io, std::vector<net::tcp::endpoint> members,
-        std::chrono::milliseconds answer, uint64_t seed);
+  Calls(boost::asio::io_context& io, std::vector<net::tcp::endpoint> members, uint64_t seed);
 
-  // `done` is called once: with an answer other than 503, or when `call.timeout` is over with the last 503,
-  // or with nothing; never from here, and not after this has gone.
+  // A member that takes half of `call.timeout` is left for the next one: it may be stopped. `done` is called
+  // once: with an answer other than 503, or when `call.timeout` is over with the last 503, or with nothing;
+  // never from here, and not after this has gone.
   void call(net::HttpCall call, Done done);
 
  private:
   struct Shared {
     boost::asio::io_context& io;
     std::vector<net::tcp::endpoint> members;
-    std::chrono::milliseconds answer;
     net::tcp::endpoint at;  // who is asked first: the one that answered last
     size_t next = 0;
   };
--- a/lease/shell.cpp
+++ b/lease/shell.cpp
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "net/log.h"
+
 namespace firspool::lease {
 namespace {
 
@@ -68,9 +70,7 @@
       settings_(settings),
       listener_(std::move(listener)),
       holder_(settings.holder),
-      // A member that is stopped must not take the whole of an answer's time.
-      calls_(io, settings.members, std::max(in_ms(settings.holder.answer) / 2, milliseconds(20)),
-             settings.holder.seed),
+      calls_(io, settings.members, settings.holder.seed),
       timer_(io),
       closing_(io) {}
 
@@ -158,6 +158,20 @@
       });
 }
 
+// Said once, until something else is said: a call that is refused is asked again all the time.
+void Shell::note(const std::optional<net::HttpReply>& reply) {
+  std::string what = reply ? "" : "no member of the registry answers in time";
+  if (reply && reply->status != 200) {
+    const json body = body_of(*reply);
+    what = body.value("error", "status " + std::to_string(reply->status));
+    const std::string code = body.value("code", "");
+    if (code == "lease_fenced") what.clear();  // how a grant ends
+  }
+  if (what == trouble_) return;
+  trouble_ = what;
+  if (!what.empty()) net::log::warn("lease_not_answered", "lease", settings_.holder.name, "why", what);
+}
+
 void Shell::record(const std::string& text, std::function<void(Recorded)> done) {
   const json body = {
       {"call", "record"}, {"holder", settings_.holder.holder}, {"token", token()}, {"record", text}};
--- a/lease/shell.h
+++ b/lease/shell.h
@@ -48,6 +48,9 @@
   const HolderSettings& settings() const { return settings_.holder; }
   size_t place() const { return place_; }  // in line; 0: not known to wait
 
+  // Why the last call for the lease brought nothing; empty where it did.
+  const std::string& trouble() const { return trouble_; }
+
   // For the successor: what has been done so far. Only while held(), one at a time.
   void record(const std::string& text, std::function<void(Recorded)> done);
 
@@ -56,6 +59,7 @@
   void take(const std::vector<Action>& actions);
   void send(const Ask& ask);
   void wait();
+  void note(const std::optional<net::HttpReply>& reply);
   void deliver(std::function<void()> event);
   void say_closed();
 
@@ -70,6 +74,7 @@
   bool ends_ = false;       // close() was called
   bool told_back_ = false;  // asked_back() was said for this grant
   size_t place_ = 0;
+  std::string trouble_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -139,7 +139,9 @@
 
   std::map<std::string, net::HttpReply> answers;   // by path
   std::vector<std::pair<json, int64_t>> mirrored;  // bodies with X-Lease-Token, and when
+  std::vector<std::string> calls;                  // for anything else
   std::string identity = "one";
+  bool refuses_members = false;
   registry::Leases leases;
 
  private:
@@ -191,10 +193,12 @@
     if (!leases.holds(request.fields.at("x-lease"), token))
       return said(409, {{"code", "lease_fenced"}, {"error", "another holds it"}});
     json body = json::parse(request.body);
+    if (refuses_members && !body["members"].empty()) return said(400, {{"error", "no such list"}});
     body["token"] = token;
     mirrored.emplace_back(std::move(body), now());
     return said(200, {{"revision", at_}, {"identity", identity}});
   }
+  calls.push_back(request.path);
   const auto it = answers.find(request.path);
   return it == answers.end() ? said(404, {{"error", "no such call"}}) : it->second;
 }
@@ -454,5 +458,188 @@
   EXPECT_GE(check({&x_, &y_}), 2U);
 }
 
+// Discovery: its list, and watches that are told what the test says.
+class PlayedDiscovery {
+ public:
+  explicit PlayedDiscovery(boost::asio::io_context& io)
+      : server_(io, kAny, {}, [this](const net::HttpRequest& request, const auto& answer) {
+          if (!request.query.contains("stream")) return answer->reply({200, list, "application/json", {}});
+          watches.push_back(request.query.at("index"));
+          stream_ = answer->stream(
+              {200, "", "application/x-ndjson", {}}, [this] { flush(); }, [] {});
+        }) {}
+  std::string address() const { return net::text_of(server_.address()); }
+  void tell(const std::string& text) {
+    lines_.push_back(text + "\n");
+    flush();
+  }
+
+  std::string list;
+  std::vector<std::string> watches;  // their indexes
+
+ private:
+  void flush() {
+    if (lines_.empty() || !stream_ || !stream_->idle()) return;
+    stream_->write(std::make_shared<std::string>(net::http_chunk(lines_.front())));
+    lines_.pop_front();
+  }
+
+  std::deque<std::string> lines_;
+  std::shared_ptr<net::HttpStream> stream_;
+  net::HttpServer server_;
+};
+
+class Mirrors : public Controllers {
+ protected:
+  void begin(const std::vector<std::string>& names) {
+    discovery_.list = line(4, true, {member("a"), member("b")});
+    for (const std::string& name : names)
+      start(name, registry_.address(), 800,
+            "[[task]]\nkind = \"mirror\"\ndiscovery = \"" + discovery_.address() + "\"\nsource = \"p\"\n");
+    until([this] { return discovery_.watches.size() == 1; }, "a watch");
+    discovery_.tell("");
+  }
+  const json& last() const { return registry_.mirrored.back().first; }
+  bool mirrored(const json& members) const {
+    return !registry_.mirrored.empty() && last()["members"] == members;
+  }
+  int64_t longest_pause() const {
+    int64_t out = 0;
+    for (size_t i = 1; i < registry_.mirrored.size(); ++i)
+      out = std::max(out, registry_.mirrored[i].second - registry_.mirrored[i - 1].second);
+    return out;
+  }
+
+  PlayedRegistry registry_{io_};
+  PlayedDiscovery discovery_{io_};
+};
+
+TEST_F(Mirrors, AKilledOnesSuccessorTellsTheWholeListInTime) {
+  begin({"a", "b"});
+  until([this] { return mirrored({member("a"), member("b")}); }, "the whole list");
+  EXPECT_TRUE(last()["complete"].get<bool>());
+  EXPECT_EQ(last()["source"], "p");
+  discovery_.tell(line(5, false, {member("b", "leaving")}));
+  until([this] { return mirrored(json::array({member("b", "leaving")})); }, "a change");
+  until([this] { return mirrored(json::array()); }, "a confirmation");
+  EXPECT_FALSE(last()["complete"].get<bool>());
+  EXPECT_EQ(discovery_.watches, std::vector<std::string>{"4"});  // one for all
+  const registry::Token token = last()["token"];
+  const std::string holder = registry_.leases.all().at("task/mirror").holder;
+  until([this] { return !registry_.leases.all().at("task/mirror").line.empty(); }, "a second one in line");
+  ::kill(processes_.at(holder.substr(0, 1)), SIGKILL);
+  discovery_.list = line(6, true, {member("c")});
+  until([this] { return mirrored(json::array({member("c")})); }, "the successor's list");
+  EXPECT_TRUE(last()["complete"].get<bool>());
+  EXPECT_GT(last()["token"].get<registry::Token>(), token);
+  EXPECT_LT(longest_pause(), 800 + 2000);
+}
+
+TEST_F(Mirrors, ConfirmsNothingThatItsWatchDoesNot) {
+  begin({"a"});
+  until([this] { return mirrored(json::array()); }, "a confirmation");
+  until([this] { return discovery_.watches.size() == 2; }, "a second watch, after 3 s of silence");
+  const size_t confirmed = registry_.mirrored.size();
+  run(1500);
+  EXPECT_EQ(registry_.mirrored.size(), confirmed);  // a watch that has told nothing
+  discovery_.tell("");
+  until([&] { return registry_.mirrored.size() > confirmed; }, "a confirmation");
+  EXPECT_EQ(discovery_.watches[1], "4");
+  // What the registry has now may be older than what was written.
+  registry_.identity = "restored";
+  until([this] { return mirrored({member("a"), member("b")}); }, "the whole list again");
+  // A list that is refused is not confirmed either.
+  registry_.refuses_members = true;
+  discovery_.tell(line(5, false, {member("z")}));
+  const size_t watches = discovery_.watches.size();
+  until([&] { return discovery_.watches.size() > watches; }, "another watch");
+  const size_t told = registry_.mirrored.size();
+  for (int i = 0; i < 15; ++i) {
+    discovery_.tell("");
+    run(100);
+  }
+  EXPECT_EQ(registry_.mirrored.size(), told);
+  registry_.refuses_members = false;
+  until([&] { return registry_.mirrored.size() > told; }, "the list");
+  EXPECT_TRUE(registry_.mirrored[told].first["complete"].get<bool>());
+}
+
+class Backups : public Controllers {
+ protected:
+  void SetUp() override {
+    Controllers::SetUp();
+    folder_of_backups_ = folder_ + "/backups";
+  }
+  void begin(const std::vector<std::string>& names, int every_s) {
+    show(7, 7);
+    for (const std::string& name : names)
+      start(name, registry_.address(), 800,
+            "[[task]]\nkind = \"backup\"\nkeep = 2\nfolder = \"" + folder_of_backups_ +
+                "\"\nevery_s = " + std::to_string(every_s) + "\n");
+  }
+  // The registry's list, and what it gives as its backup.
+  void show(uint64_t revision, uint64_t backup) {
+    registry_.answers["/api/targets"] = {200, list_of(revision, {entry("a")}), "application/json", {}};
+    registry_.answers["/registry/backup"] = {200, backup_of(backup, {entry("a")}), "application/json", {}};
+  }
+  json record() const {
+    const auto it = registry_.leases.all().find("task/backup");
+    return it == registry_.leases.all().end() ? json() : json::parse(it->second.record, nullptr, false);
+  }
+  void until_kept(uint64_t revision) {
+    until([&] { return record().is_object() && record()["revision"] == revision; }, "a backup");
+  }
+  std::set<std::string> files() const {
+    std::set<std::string> out;
+    for (const auto& one : fs::directory_iterator(folder_of_backups_)) out.insert(one.path().filename());
+    return out;
+  }
+
+  std::string folder_of_backups_;
+  PlayedRegistry registry_{io_};
+};
+
+TEST_F(Backups, KeepsTheLastGoodOnesOnly) {
+  begin({"a"}, 1);
+  until_kept(7);
+  std::vector<std::string> names;
+  for (const uint64_t revision : {8, 9, 10}) {
+    show(revision, revision);
+    until_kept(revision);
+    const std::string name = record()["file"];
+    names.push_back(name);
+    std::ifstream in(folder_of_backups_ + "/" + name);
+    const std::string bytes{std::istreambuf_iterator<char>(in), {}};
+    EXPECT_EQ(bytes, backup_of(revision, {entry("a")}));
+    EXPECT_EQ(checked_backup(bytes, list_of(revision, {entry("a")})).file(), name);
+  }
+  const std::set<std::string> last = {names[1], names[2]};
+  until([&] { return files() == last; }, "older ones to go");
+  show(12, 11);  // from a member that is behind
+  const size_t calls = registry_.calls.size();
+  until([&] { return registry_.calls.size() > calls + 6; }, "further tries");
+  EXPECT_EQ(files(), last);
+  EXPECT_EQ(record()["revision"], 10);
+  show(12, 12);
+  until_kept(12);
+}
+
+TEST_F(Backups, ASuccessorWaitsUntilTheNextIsDue) {
+  begin({"a", "b"}, 4);
+  until_kept(7);
+  const int64_t made = record()["at_ms"];
+  const auto& lease = registry_.leases.all().at("task/backup");
+  until([&] { return !lease.line.empty(); }, "a second one in line");
+  const registry::Token token = lease.token;
+  ::kill(processes_.at(lease.holder.substr(0, 1)), SIGKILL);
+  show(8, 8);
+  const size_t calls = registry_.calls.size();
+  until([&] { return lease.token != token; }, "a successor");
+  EXPECT_EQ(registry_.calls.size(), calls);
+  until_kept(8);
+  EXPECT_GE(record()["at_ms"].get<int64_t>(), made + 4000);
+  EXPECT_LT(record()["at_ms"].get<int64_t>(), made + 4000 + 4000);
+}
+
 }  // namespace
 }  // namespace firspool::controller
