Lab: the registry's members and the stage of a play in files of their own

Plays of leases need the same members: their processes, configuration, the links between them and what can be done to them. They move out of registry_play with nothing changed but who owns them; draws from the seed stay in their order.

--- a/lab/registry_play.cpp
+++ b/lab/registry_play.cpp
@@ -1,28 +1,19 @@
 #include "registry_play.h"
 
-#include <sys/resource.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <cmath>
-#include <csignal>
 #include <filesystem>
-#include <fstream>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
 #include "lab/errors.h"
 #include "lab/linear.h"
-#include "lab/link.h"
-#include "lab/process.h"
-#include "net/clock.h"
-#include "net/http.h"
+#include "lab/members.h"
+#include "lab/stage.h"
 #include "net/lines.h"
 #include "net/random.h"
 #include "registry/follow.h"
@@ -41,14 +32,6 @@
 constexpr milliseconds kFollowHold{2500};
 constexpr double kReadWithin = 1.5;
 
-const std::vector<std::string> kFaults = {"kill", "stop", "cut", "disk", "lose"};
-
-double quantile(std::vector<double> values, double q) {
-  if (values.empty()) return 0;
-  std::sort(values.begin(), values.end());
-  return values[std::min(values.size() - 1, static_cast<size_t>(q * static_cast<double>(values.size())))];
-}
-
 RegistryScenario read(const net::Section& file, const std::string& fallback) {
   RegistryScenario out;
   out.name = file.word("name", fallback);
@@ -73,9 +56,9 @@
   r.done();
   for (const net::Section& one : file.tables("fault")) {
     RegistryFault f;
-    const std::string kind = one.word("kind", {}, {kFaults.begin(), kFaults.end()});
-    f.kind =
-        static_cast<RegistryFault::Kind>(std::find(kFaults.begin(), kFaults.end(), kind) - kFaults.begin());
+    const auto& names = Members::fault_names();
+    const std::string kind = one.word("kind", {}, {names.begin(), names.end()});
+    f.kind = static_cast<Members::Fault>(std::find(names.begin(), names.end(), kind) - names.begin());
     f.who = one.word("who", f.who, {"leader", "follower", "any", "majority", "all"});
     f.at_s = one.number("at_s", {}, 0, 86400);
     f.for_s = one.number("for_s", 0, 0, 86400);
@@ -89,17 +72,6 @@
   return out;
 }
 
-struct Member {
-  int number = 0;
-  std::string folder;
-  std::string config;
-  std::string log;
-  pid_t process = 0;  // 0: it does not run
-  bool stopped = false;
-  bool full = false;
-  bool served = false;  // has answered with a list since its start
-};
-
 struct Ack {
   int64_t revision = 0;
   uint64_t value = 0;
@@ -116,7 +88,6 @@
 class Play {
  public:
   Play(const RegistryScenario& scenario, const RegistryPlayOptions& options);
-  ~Play();
   RegistryPlayed run();
 
  private:
@@ -124,39 +95,19 @@
   struct Reader;
   struct Watching;
 
-  double now() const { return static_cast<double>(net::steady_now() - begun_) / 1e6; }
-  boost::asio::ip::address_v4 address(int host) const {
-    return boost::asio::ip::address_v4((127U << 24) | (net_ << 8) | static_cast<uint32_t>(host));
-  }
-  net::tcp::endpoint http(size_t member) const { return {address(10 + static_cast<int>(member)), 7101}; }
-  std::string raft(size_t member) const {
-    return net::text_of(net::tcp::endpoint(address(10 + static_cast<int>(member)), 7201));
-  }
-  void after(double seconds, std::function<void()> what) {
-    auto timer = std::make_shared<boost::asio::steady_timer>(io_);
-    timer->expires_after(std::chrono::microseconds(static_cast<int64_t>(seconds * 1e6)));
-    timer->async_wait([timer, what = std::move(what)](const Error& error) {
-      if (!error) what();
-    });
-  }
+  double now() const { return stage_.now(); }
+  net::tcp::endpoint http(size_t member) const { return members_.http(member); }
+  void after(double seconds, std::function<void()> what) { stage_.after(seconds, std::move(what)); }
   double pause() { return random_.exponential(scenario_.pause_ms / 1000); }
-  size_t any_member() { return random_.below(members_.size()); }
+  size_t any_member() { return members_.any(); }
 
-  void write_config(Member& member);
-  void start(Member& member);
-  void kill(Member& member);
-  void watch_processes();
-  void ask_who_leads();
   void probe();
   void schedule(const RegistryFault& fault);
   void fault(const RegistryFault& what);
-  void cut(size_t member, bool apart);
-  void note(const std::string& what, json more = json::object());
   void renew(int endpoint, bool anew);
   void crowd_watch(size_t index);
   void backup_and_restore();
   bool settled();
-  void await(const std::function<bool()>& ready, double most);
   std::optional<HttpReply> wait_for(size_t member, net::HttpCall call);
   void finish(RegistryPlayed& out);
   Verdict linear() const;
@@ -166,16 +117,11 @@
   const RegistryScenario& scenario_;
   const RegistryPlayOptions& options_;
   net::Random random_;
-  uint32_t net_ = 0;
-  boost::asio::io_context io_;
-  net::Time begun_ = net::steady_now();
-  std::ofstream events_;
-  std::vector<Member> members_;
-  std::map<std::pair<size_t, size_t>, std::unique_ptr<Link>> links_;
-  int leader_ = -1;
+  Stage stage_;
+  boost::asio::io_context& io_ = stage_.io();
+  Members members_;
   bool writing_ = true;
   bool over_ = false;
-  bool ended_ = false;  // members may end from here on
 
   uint64_t values_ = 0;
   std::map<std::string, std::vector<Operation>> operations_;
@@ -282,11 +228,11 @@
       const bool done = reply->status == 200;
       if (!done) op.kind = Operation::Kind::kNotSwap;
       play.operations_[id].push_back(op);
-      play.note("write", {{"id", id},
-                          {"value", op.value},
-                          {"begin", op.begin},
-                          {"status", reply->status},
-                          {"revision", body.value("revision", int64_t{0})}});
+      play.stage_.note("write", {{"id", id},
+                                 {"value", op.value},
+                                 {"begin", op.begin},
+                                 {"status", reply->status},
+                                 {"revision", body.value("revision", int64_t{0})}});
       if (done) {
         play.acks_[id].push_back({body.value("revision", int64_t{0}), op.value});
         play.written_.emplace_back(op.begin, op.end);
@@ -304,7 +250,8 @@
         op.end = Operation::kNever;
         play.operations_[id].push_back(op);
         play.uncertain_[id].insert(op.value);
-        play.note("write", {{"id", id}, {"value", op.value}, {"begin", op.begin}, {"status", "unknown"}});
+        play.stage_.note("write",
+                         {{"id", id}, {"value", op.value}, {"begin", op.begin}, {"status", "unknown"}});
       }
       return next();
     }
@@ -392,111 +339,22 @@
 };
 
 Play::Play(const RegistryScenario& scenario, const RegistryPlayOptions& options)
-    : scenario_(scenario), options_(options), random_(options.seed, 31) {
-  // A part of loopback of its own for each process that plays.
-  const auto own = static_cast<uint32_t>(::getpid());
-  net_ = ((64 + own % 60) << 8) | (1 + own / 60 % 250);
-  events_.open(options_.folder + "/events.jsonl");
-  for (int i = 0; i < scenario_.members; ++i) {
-    Member member;
-    member.number = i + 1;
-    const std::string base = options_.folder + "/member-" + std::to_string(i + 1);
-    member.folder = base;
-    member.config = base + ".toml";
-    member.log = base + ".log";
-    members_.push_back(member);
-  }
-  for (size_t a = 0; a < members_.size(); ++a) {
-    for (size_t b = 0; b < members_.size(); ++b) {
-      if (a == b) continue;
-      const net::tcp::endpoint listen(address(100 + static_cast<int>(10 * a + b)), 7201);
-      links_[{a, b}] = std::make_unique<Link>(io_, listen, net::parse_address(raft(b)),
-                                              address(10 + static_cast<int>(a)), random_.bits());
-    }
-  }
-  for (Member& member : members_) write_config(member);
-}
-
-Play::~Play() {
-  for (Member& member : members_) kill(member);
-}
-
-void Play::write_config(Member& member) {
-  std::ofstream out(member.config);
-  out << "member = " << member.number << "\nfolder = \"" << member.folder
-      << "\"\nelection_ms = " << scenario_.election_ms << "\nheartbeat_ms = " << scenario_.heartbeat_ms
-      << "\nfree_mb = 0\nwrite_ms = 1000\n";
-  const auto self = static_cast<size_t>(member.number - 1);
-  for (size_t i = 0; i < members_.size(); ++i) {
-    out << "\n[[members]]\nmember = " << i + 1 << "\nraft = \"" << raft(i) << "\"\nhttp = \""
-        << net::text_of(http(i)) << "\"\n";
-  }
-  for (size_t i = 0; i < members_.size(); ++i) {
-    if (i == self) continue;
-    out << "\n[[dial]]\nraft = \"" << raft(i) << "\"\nat = \""
-        << net::text_of(links_.at({self, i})->address()) << "\"\n";
-  }
-}
-
-void Play::note(const std::string& what, json more) {
-  json line = {{"at", now()}, {"what", what}};
-  line.update(more);
-  events_ << line.dump() << "\n";
-}
-
-void Play::start(Member& member) {
-  Spawn what;
-  what.command = {options_.program, "registry", "run", member.config, "--log-level", options_.level};
-  what.log = member.log;
-  member.process = spawn(what);
-  member.stopped = member.full = member.served = false;
-  note("start", {{"member", member.number}});
-}
-
-void Play::kill(Member& member) {
-  if (member.process == 0) return;
-  out_.memory_mb = std::max(out_.memory_mb, usage_of(member.process).memory_mb);
-  ::kill(member.process, SIGKILL);
-  ::waitpid(member.process, nullptr, 0);
-  member.process = 0;
-}
-
-void Play::watch_processes() {
-  for (Member& member : members_) {
-    int status = 0;
-    if (member.process == 0 || ::waitpid(member.process, &status, WNOHANG) != member.process) continue;
-    member.process = 0;
-    if (ended_) continue;
-    note("ended", {{"member", member.number}, {"status", status}});
-    alive_.broken.push_back({"member " + std::to_string(member.number) + " ended by itself at " +
-                                 std::to_string(now()) + " s, status " + std::to_string(status),
-                             {}});
-  }
-  if (!over_) after(0.02, [this] { watch_processes(); });
-}
-
-void Play::ask_who_leads() {
-  for (size_t i = 0; i < members_.size(); ++i) {
-    if (members_[i].process == 0 || members_[i].stopped) {
-      if (leader_ == static_cast<int>(i)) leader_ = -1;
-      continue;
-    }
-    net::http_call(io_, http(i), {"GET", "/registry/status", {}, "", milliseconds(300)},
-                   [this, i](const std::optional<HttpReply>& reply) {
-                     const json status = reply ? json::parse(reply->body, nullptr, false) : json();
-                     if (!status.is_object()) return;
-                     if (status["role"] == "leader") leader_ = static_cast<int>(i);
-                     if (status["role"] != "leader" && leader_ == static_cast<int>(i)) leader_ = -1;
-                   });
-  }
-  if (!over_) after(0.1, [this] { ask_who_leads(); });
-}
+    : scenario_(scenario),
+      options_(options),
+      random_(options.seed, 31),
+      stage_(options.folder),
+      members_(stage_,
+               {options.program, options.folder, options.level, scenario.members, scenario.election_ms,
+                scenario.heartbeat_ms, ""},
+               random_, [this](const std::string& what) {
+                 alive_.broken.push_back({what, {}});
+               }) {}
 
 // Whatever happens among the members, one that runs and has a list gives it.
 void Play::probe() {
   for (size_t i = 0; i < members_.size(); ++i) {
     Member& member = members_[i];
-    if (member.process == 0 || member.stopped) continue;
+    if (!members_.up(i)) continue;
     net::http_call(
         io_, http(i), {"GET", "/api/targets", {}, "", milliseconds(static_cast<int>(kReadWithin * 1000))},
         [this, &member, process = member.process](const std::optional<HttpReply>& reply) {
@@ -513,15 +371,6 @@
   if (!over_) after(0.2, [this] { probe(); });
 }
 
-void Play::cut(size_t member, bool apart) {
-  for (const auto& [ends, link] : links_) {
-    if (ends.first != member && ends.second != member) continue;
-    LinkState state;
-    state.cut_to = state.cut_from = apart;
-    link->set(state);
-  }
-}
-
 void Play::schedule(const RegistryFault& what) {
   for (int i = 0; i < what.times; ++i) {
     after(what.at_s + i * what.every_s, [this, &what] {
@@ -531,62 +380,8 @@
 }
 
 void Play::fault(const RegistryFault& what) {
-  std::vector<size_t> who;
-  const auto lead = leader_ >= 0 ? static_cast<size_t>(leader_) : any_member();
-  if (what.who == "leader") who = {lead};
-  if (what.who == "any") who = {any_member()};
-  if (what.who == "follower" && members_.size() > 1) {
-    who = {(lead + 1 + random_.below(members_.size() - 1)) % members_.size()};
-  }
-  if (what.who == "all" || what.who == "majority") {
-    for (size_t i = 0; i < members_.size(); ++i) who.push_back(i);
-    random_.shuffle(who);
-    if (what.who == "majority") who.resize(members_.size() / 2 + 1);
-  }
-  for (const size_t i : who) {
-    Member& member = members_[i];
-    if (member.process == 0 || member.stopped || member.full) continue;
-    ++out_.faults;
-    note("fault", {{"kind", kFaults[static_cast<size_t>(what.kind)]},
-                   {"member", member.number},
-                   {"leads", static_cast<int>(i) == leader_},
-                   {"for", what.for_s}});
-    switch (what.kind) {
-      case RegistryFault::Kind::kKill:
-      case RegistryFault::Kind::kLose:
-        kill(member);
-        if (what.kind == RegistryFault::Kind::kLose) fs::remove_all(member.folder);
-        after(what.for_s, [this, &member] {
-          if (!over_) start(member);
-        });
-        break;
-      case RegistryFault::Kind::kStop:
-        ::kill(member.process, SIGSTOP);
-        member.stopped = true;
-        after(what.for_s, [&member, process = member.process] {
-          if (member.process != process) return;
-          ::kill(process, SIGCONT);
-          member.stopped = false;
-        });
-        break;
-      case RegistryFault::Kind::kCut:
-        cut(i, true);
-        after(what.for_s, [this, i] { cut(i, false); });
-        break;
-      case RegistryFault::Kind::kDisk: {
-        const rlimit none{4096, RLIM_INFINITY};
-        ::prlimit(member.process, RLIMIT_FSIZE, &none, nullptr);
-        member.full = true;
-        after(what.for_s, [this, &member, process = member.process] {
-          if (member.process != process) return;
-          const rlimit all{RLIM_INFINITY, RLIM_INFINITY};
-          ::prlimit(process, RLIMIT_FSIZE, &all, nullptr);
-          member.full = false;
-          note("room", {{"member", member.number}});
-        });
-        break;
-      }
-    }
+  for (const size_t i : members_.drawn(what.who)) {
+    if (members_.fault(what.kind, i, what.for_s)) ++out_.faults;
   }
 }
 
@@ -642,24 +437,7 @@
 }
 
 std::optional<HttpReply> Play::wait_for(size_t member, net::HttpCall call) {
-  std::optional<HttpReply> out;
-  bool done = false;
-  net::http_call(io_, http(member), std::move(call), [&](std::optional<HttpReply> reply) {
-    out = std::move(reply);
-    done = true;
-  });
-  while (!done) io_.run_one();
-  return out;
-}
-
-void Play::await(const std::function<bool()>& ready, double most) {
-  const double until = now() + most;
-  while (!ready()) {
-    if (now() > until) throw RegistryNotReady(most);
-    bool woken = false;
-    after(0.05, [&woken] { woken = true; });
-    while (!woken) io_.run_one();
-  }
+  return stage_.wait_for(http(member), std::move(call));
 }
 
 void Play::backup_and_restore() {
@@ -670,8 +448,8 @@
                    });
   });
   after(scenario_.seconds * 2 / 3, [this] {
-    note("restore");
-    const size_t at = leader_ >= 0 ? static_cast<size_t>(leader_) : 0;
+    stage_.note("restore");
+    const size_t at = members_.leader() >= 0 ? static_cast<size_t>(members_.leader()) : 0;
     net::http_call(io_, http(at), {"POST", "/registry/restore", {}, backup_, milliseconds(3000)},
                    [this](const std::optional<HttpReply>& reply) {
                      if (!reply || reply->status != 200) alive_.broken.push_back({"the restore failed", {}});
@@ -780,20 +558,18 @@
 }
 
 RegistryPlayed Play::run() {
-  for (Member& member : members_) start(member);
-  watch_processes();
-  ask_who_leads();
-  await([this] { return leader_ >= 0; }, 20);
+  members_.start();
+  stage_.await([this] { return members_.leader() >= 0; }, 20, "the registry");
   const auto put = [&](const json& items) {
     std::optional<HttpReply> reply;
-    await(
+    stage_.await(
         [&] {
-          if (leader_ < 0) return false;
-          reply = wait_for(static_cast<size_t>(leader_),
+          if (members_.leader() < 0) return false;
+          reply = wait_for(static_cast<size_t>(members_.leader()),
                            {"POST", "/api/targets", {}, json({{"items", items}}).dump(), milliseconds(5000)});
           return reply && reply->status == 200;
         },
-        20);
+        20, "the registry");
   };
   json items = json::array();
   for (int i = 0; i < scenario_.entries; ++i) {
@@ -804,9 +580,9 @@
     if (items.size() == 2000) put(std::exchange(items, json::array()));
   }
   if (!items.empty()) put(items);
-  await([this] { return leader_ >= 0; }, 10);
+  stage_.await([this] { return members_.leader() >= 0; }, 10, "the registry");
 
-  begun_ = net::steady_now();
+  stage_.begin();
   for (const RegistryFault& f : scenario_.faults) schedule(f);
   for (int i = 0; i < scenario_.followers; ++i) {
     followers_.push_back(std::make_unique<Watching>(*this, random_.bits()));
@@ -875,10 +651,9 @@
     if (most < all) bulk_.broken.push_back({"a follower never saw all that renew", {}});
   }
   alive_.checked = members_.size();
-  over_ = ended_ = true;
-  for (Member& member : members_) {
-    if (member.process != 0) out.memory_mb = std::max(out.memory_mb, usage_of(member.process).memory_mb);
-  }
+  over_ = true;
+  members_.over();
+  out.memory_mb = members_.memory_mb();
   out.verdicts.insert(out.verdicts.end(), {bulk_, serving_, alive_});
   out.writes = written_.size();
   std::vector<double> took;
--- a/lab/registry_play.h
+++ b/lab/registry_play.h
@@ -9,13 +9,13 @@
 #include <vector>
 
 #include "invariants.h"
+#include "members.h"
 #include "net/toml.h"
 
 namespace firspool::lab {
 
 struct RegistryFault {
-  enum class Kind { kKill, kStop, kCut, kDisk, kLose };
-  Kind kind = Kind::kKill;     // lose: killed, and its folder emptied
+  Members::Fault kind = Members::Fault::kKill;
   std::string who = "leader";  // leader, follower, any, majority, all
   double at_s = 0;
   double for_s = 0;
