Lab: links that keep redirects on themselves and make answers late

A client that is cut off from a member must not get round its link by a redirect to the leader's own address, and answers that come late (the call itself in time) are what a holder's count of time must survive.

Test: Links.LeadRedirectsOverOneAgainAndMakeAnswersLate, seen to fail without each of the two.

--- a/lab/link.cpp
+++ b/lab/link.cpp
@@ -3,9 +3,11 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <string_view>
 
 namespace firspool::lab {
 namespace {
@@ -83,7 +85,7 @@
     }
     const LinkState& state = owner_->state_;
     if (state.reset > 0 && owner_->random_.chance(state.reset)) return abort();
-    double late = state.delay_s;
+    double late = state.delay_s + (&way == &back_ ? state.late_s : 0);
     for (double again = kRetransmission; state.loss > 0 && owner_->random_.chance(state.loss) && again < 4;
          again *= 2) {
       late += again;
@@ -96,6 +98,7 @@
   }
 
   void write(Way& way, size_t size) {
+    if (&way == &back_ && owner_ != nullptr) owner_->rewrite(way.bytes.data(), size);
     boost::asio::async_write(to(way), boost::asio::buffer(way.bytes, size),
                              [self = shared_from_this(), &way](const Error& error, size_t) {
                                error ? self->abort() : self->read(way);
@@ -200,6 +203,14 @@
   for (const auto& go_on : parked) go_on();
 }
 
+void Link::rewrite(char* bytes, size_t size) const {
+  const std::string_view all(bytes, size);
+  for (const auto& [from, to] : rewritten_) {
+    for (size_t at = all.find(from); at != std::string_view::npos; at = all.find(from, at + from.size()))
+      std::copy(to.begin(), to.end(), bytes + at);
+  }
+}
+
 bool Link::open_at_caller(const tcp::endpoint& peer) const {
   const auto it = by_peer_.find(peer);
   return it != by_peer_.end() && it->second->near_open();
--- a/lab/link.h
+++ b/lab/link.h
@@ -9,6 +9,8 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "net/address.h"
@@ -24,7 +26,8 @@
   double loss =
       0;  // share of what is sent that comes later, by 200 ms and twice as long for each further loss
   double delay_s = 0;
-  double reset = 0;  // share of what is sent on which the connection is reset instead
+  double late_s = 0;  // as delay_s, towards the caller only
+  double reset = 0;   // share of what is sent on which the connection is reset instead
   bool operator==(const LinkState&) const = default;
 };
 
@@ -38,6 +41,9 @@
   void set(const LinkState& state);
   void refuse(bool refused);  // connections are refused, and those that are open reset
   const tcp::endpoint& address() const { return listen_; }
+  // In what the target says, `from` becomes `to`, which is as long: so that a redirect leads over a link
+  // again.
+  void rewrite(const std::string& from, const std::string& to) { rewritten_.emplace_back(from, to); }
   // Whether the caller still has the connection open that the target knows by this peer.
   bool open_at_caller(const tcp::endpoint& peer) const;
   size_t connections() const { return accepted_; }
@@ -48,6 +54,7 @@
   void listen();
   void accept();
   void block(bool blocked);
+  void rewrite(char* bytes, size_t size) const;
   bool held(bool forth) const { return forth ? state_.cut_to : state_.cut_from; }
 
   boost::asio::io_context& io_;
@@ -62,6 +69,7 @@
   std::set<std::shared_ptr<Connection>> open_;
   std::map<tcp::endpoint, Connection*> by_peer_;
   std::vector<std::function<void()>> parked_;  // what goes on once the link is whole
+  std::vector<std::pair<std::string, std::string>> rewritten_;
   size_t accepted_ = 0;
 };
 
--- a/tests/lease_history_test.cpp
+++ b/tests/lease_history_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "lab/link.h"
 #include "lab/things.h"
 
 namespace firspool::lab {
@@ -147,5 +148,39 @@
   EXPECT_FALSE(history[2].accepted);
 }
 
+TEST(Links, LeadRedirectsOverOneAgainAndMakeAnswersLate) {
+  boost::asio::io_context io;
+  const auto home = boost::asio::ip::make_address("127.0.0.1");
+  net::HttpServer server(
+      io, {home, 0}, {}, [&](const net::HttpRequest&, const std::shared_ptr<net::HttpAnswer>& to) {
+        const std::string at = net::text_of(server.address());
+        to->reply({307, at + " and " + at, "text/plain", {{"Location", "http://" + at + "/"}}});
+      });
+  const net::tcp::endpoint listen(boost::asio::ip::make_address("127.0.0.2"), server.address().port());
+  Link link(io, listen, server.address(), home, 1);
+  const std::string to = net::text_of(link.address());
+  link.rewrite(net::text_of(server.address()), to);
+  const auto ask = [&] {
+    std::optional<net::HttpReply> out;
+    bool done = false;
+    net::http_call(io, link.address(), {"GET", "/", {}, "", std::chrono::seconds(5)},
+                   [&](std::optional<net::HttpReply> reply) {
+                     out = std::move(reply);
+                     done = true;
+                   });
+    while (!done) io.run_one();
+    return out.value_or(net::HttpReply{0, "", "", {}});
+  };
+  const net::HttpReply reply = ask();
+  EXPECT_EQ(reply.fields.at("location"), "http://" + to + "/");
+  EXPECT_EQ(reply.body, to + " and " + to);
+  LinkState late;
+  late.late_s = 0.2;
+  link.set(late);
+  const auto begun = std::chrono::steady_clock::now();
+  EXPECT_EQ(ask().status, 307);
+  EXPECT_GE(std::chrono::steady_clock::now() - begun, std::chrono::milliseconds(200));
+}
+
 }  // namespace
 }  // namespace firspool::lab
