Lab: a holder may begin again under a grant of its own

A holder whose time was over by its own count may get the same grant back before the registry lets it lapse (late answers, a leader that was killed). It raises the fence anew and begins with what was kept, so the last number comes twice. Numbers now grow from one fence of a holder to its next.

Test: the same repeat is found without a new fence and let through after one.

--- a/lab/lease_history.cpp
+++ b/lab/lease_history.cpp
@@ -99,6 +99,9 @@
     if (r.what == Sort::kKept) kept = std::max(kept, r.number);
     if (r.what == Sort::kAct || r.what == Sort::kFence || r.what == Sort::kGrant)
       begins.emplace(r.token, kept);
+    // A holder whose time was over may get its own grant back: it begins again with what was kept.
+    if (r.what == Sort::kFence)
+      std::erase_if(numbers, [&](const auto& one) { return one.first.second == r.token; });
     if (!accepted_act(r)) continue;
     ++out.checked;
     if (r.number <= begins[r.token]) {
--- a/lab/lease_history.h
+++ b/lab/lease_history.h
@@ -45,7 +45,7 @@
 // in_grant    each accepted act is of a grant that the registry lists for that holder, and no act of an
 // earlier
 //             grant comes once the next one's acts have begun
-// acts_on     a holder goes on after what its predecessors had kept, and skips nothing
+// acts_on     a holder goes on after what its predecessors had kept; its numbers grow from fence to fence
 // serving     in the end somebody acts
 // alive       no process ended by itself
 std::vector<Verdict> check(const LeaseHistory& history, const LeaseRules& rules);
--- a/tests/lease_history_test.cpp
+++ b/tests/lease_history_test.cpp
@@ -86,6 +86,10 @@
 TEST(LeaseHistories, NumbersThatGoBackAreFound) {
   EXPECT_EQ(broken(with(13, act(5, 0, 7, "b", 1))), "acts_on ");  // kept as done before b began
   EXPECT_EQ(broken(with(6, act(3, 0, 5, "a", 1))), "acts_on ");   // twice within one grant
+  LeaseHistory again = with(6, act(3, 0, 5, "a", 1));  // but not where it began anew under its grant
+  again.insert(again.begin() + 5, fence(2.5, 0, 5, "a"));
+  again.erase(again.begin() + 6);
+  EXPECT_EQ(broken(again), "");
   LeaseHistory restored = with(13, act(5, 0, 7, "b", 1));
   restored.insert(restored.begin() + 8, other(Sort::kRestored, 3.5));
   EXPECT_EQ(broken(restored), "");
