--- a/lab/errors.h
+++ b/lab/errors.h
@@ -20,12 +20,11 @@
               "see the run's folder, and the machine's limits of processes and files") {}
 };
 
-class RegistryNotReady : public net::Error {
+class NotReady : public net::Error {
  public:
-  explicit RegistryNotReady(double seconds)
-      : Error("registry_not_ready", net::Family::kBroken,
-              "the registry was not ready in " + std::to_string(seconds) + " s",
-              "see the members' logs in the run's folder") {}
+  NotReady(const std::string& who, double seconds)
+      : Error("not_ready", net::Family::kBroken, who + " was not ready in " + std::to_string(seconds) + " s",
+              "see the processes' logs in the run's folder") {}
 };
 
 class NotWritten : public net::Error {
--- a/lab/stage.cpp
+++ b/lab/stage.cpp
@@ -5,7 +5,8 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
-#include <stdexcept>
+
+#include "errors.h"
 
 namespace firspool::lab {
 
@@ -52,7 +53,7 @@
 void Stage::await(const std::function<bool()>& ready, double most, const std::string& who) {
   const double until = now() + most;
   while (!ready()) {
-    if (now() > until) throw std::runtime_error(who + " was not ready in " + std::to_string(most) + " s");
+    if (now() > until) throw NotReady(who, most);
     bool woken = false;
     after(0.05, [&woken] { woken = true; });
     while (!woken) io_.run_one();
--- a/lab/stage.h
+++ b/lab/stage.h
@@ -26,7 +26,7 @@
   void note(const std::string& what, const nlohmann::json& more = nlohmann::json::object());
   boost::asio::ip::address_v4 address(int host) const;
 
-  // Both run the loop meanwhile. `await` throws std::runtime_error: "`who` was not ready in `most` s".
+  // Both run the loop meanwhile. `await` throws NotReady.
   std::optional<net::HttpReply> wait_for(const net::tcp::endpoint& to, net::HttpCall call);
   void await(const std::function<bool()>& ready, double most, const std::string& who);
 
--- a/tests/errors_test.cpp
+++ b/tests/errors_test.cpp
@@ -45,7 +45,7 @@
       {"relay/NoHandover", relay::NoHandover("no")},
       {"lab/NoAddresses", lab::NoAddresses()},
       {"lab/NotStarted", lab::NotStarted("no")},
-      {"lab/RegistryNotReady", lab::RegistryNotReady(3)},
+      {"lab/NotReady", lab::NotReady("the registry", 3)},
       {"lab/NotWritten", lab::NotWritten("file")},
       {"lab/NoPlot", lab::NoPlot("file")},
       {"cli/WrongUse", cli::WrongUse("no")},
