--- a/controller/mirror.cpp
+++ b/controller/mirror.cpp
@@ -139,11 +139,11 @@
   alive_watch_ = false;
   stream_ = std::make_shared<net::Lines>(
       io_, config_.mirror.discovery, kSilence, [this](const std::string& text) { return line(text); },
-      [this, self] {
+      [this, self](net::Lines::End how) {
         if (*self != stream_.get()) return;
         stream_->close();
         stream_.reset();
-        failed(WatchBroken("the watch at discovery has ended"));
+        failed(WatchBroken(std::string("the watch at discovery ends: ") + net::Lines::name_of(how)));
         // From what is known; where that has been spoilt, from the start.
         later(lines_.revision() < 0 ? &MirrorTask::anew : &MirrorTask::connect);
       });
--- a/tests/lease_shell_test.cpp
+++ b/tests/lease_shell_test.cpp
@@ -29,7 +29,7 @@
     if (!leader.empty()) return {307, "", "", {{"Location", "http://" + leader + "/api/leases/task/x"}}};
     if (down) return {503, R"({"code":"no_leader","error":"none"})", "application/json", {}};
     const json body = {{"outcome", "held"},
-                       {"token", 12},
+                       {"token", token + count("release")},
                        {"asked_back", asked_back && call == "renew"},
                        {"record", "left"}};
     return {200, body.dump(), "application/json", {}};
@@ -39,6 +39,7 @@
     return static_cast<size_t>(std::count(calls.begin(), calls.end(), call));
   }
 
+  Token token = 12;    // a grant after a release is another one
   std::string leader;  // redirects there
   bool down = false;
   bool asked_back = false;
@@ -141,7 +142,7 @@
   shell_->give_back();
   until([&] { return events_.size() >= 4; });
   EXPECT_EQ(events_[2], "stop released");
-  EXPECT_EQ(events_[3], "begin 12 left");
+  EXPECT_EQ(events_[3], "begin 13 left");
   EXPECT_EQ(member.count("release"), 1U);
 }
 
