Relay: a refused configuration names its file and the address's key

"'6379' is not an address with a port" did not say of which file and key it spoke. Now: "relay.json: listen: '6379' is not …"; PROXY_CONTROL is named too.

--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -109,15 +109,23 @@
   return out;
 }
 
+static tcp::endpoint address_in(const json& root, const char* key) {
+  try {
+    return parse_address(root.at(key).get<std::string>());
+  } catch (const std::invalid_argument& error) {
+    throw BadConfig(std::string(key) + ": " + error.what());
+  }
+}
+
 static Config read_config(const std::string& text, const std::string& state) {
   const json root = json::parse(text);
   Config out;
   out.text = text;
   out.state = state;
   out.name = root.at("name").get<std::string>();
-  out.listen = parse_address(root.at("listen").get<std::string>());
-  out.discovery = parse_address(root.at("discovery").get<std::string>());
-  if (root.contains("control")) out.control = parse_address(root.at("control").get<std::string>());
+  out.listen = address_in(root, "listen");
+  out.discovery = address_in(root, "discovery");
+  if (root.contains("control")) out.control = address_in(root, "control");
   out.seed = std::stoull(root.at("seed").get<std::string>(), nullptr, 16);
   const json& limits = root.at("limits");
   out.sockets = limits.at("sockets").get<size_t>();
@@ -146,15 +154,29 @@
   return reading([&] { return read_config(text, state); });
 }
 
+static Config parse_file(const std::string& path, const std::string& text, const std::string& state) {
+  try {
+    return parse_config(text, state);
+  } catch (const BadConfig& error) {
+    throw BadConfig(path + ": " + error.what());
+  }
+}
+
 Config load_config() {
   const std::string path = needed("PROXY_CONFIG");
   const std::string state = needed("PROXY_STATE");
   std::ifstream file(path, std::ios::binary);
   if (!file) throw BadConfig("cannot read " + path);
-  Config out = parse_config({std::istreambuf_iterator<char>(file), {}}, state);
+  Config out = parse_file(path, {std::istreambuf_iterator<char>(file), {}}, state);
   // First, as it is the process's own: during an upgrade two versions may share a file.
   const char* control = std::getenv("PROXY_CONTROL");
-  if (control != nullptr && *control != '\0') out.control = reading([&] { return parse_address(control); });
+  if (control != nullptr && *control != '\0') {
+    try {
+      out.control = parse_address(control);
+    } catch (const std::invalid_argument& error) {
+      throw BadConfig(std::string("PROXY_CONTROL: ") + error.what());
+    }
+  }
   return out;
 }
 
