--- a/lease/holder.h
+++ b/lease/holder.h
@@ -25,8 +25,9 @@
   std::string name;    // of the lease
   std::string holder;  // of this process, new with each start
   Time ttl = 3'000'000;
-  double margin = 0.25;   // of the TTL: a holder stops that long before its end. Over 2 x drift / (1 + drift)
-                          // of both clocks
+  // Of the TTL: a holder stops that long before its end. With `drift` of both clocks and jumps of the log's
+  // clock by two ticks: 1 - margin <= (1 - drift) / (1 + drift) x (1 - 2 tick / TTL) (docs/leases.md).
+  double margin = 0.25;
   int renewals = 4;       // within a TTL less the margin
   Time answer = 500'000;  // an answer that takes longer is lost; asked again
   Time first_pause =
