Lab: relays that follow a registry, as real members

Plays knew relays on discovery only, so nothing showed what a fleet on the registry hears and when.

Seen to fail (Lab.PlaysRelaysThatFollowARegistry...): with a mirror that writes once, 4 lists missed and none of 10 heard; with addresses that are not rewritten, no message in time.

--- a/cli/lab.cpp
+++ b/cli/lab.cpp
@@ -30,6 +30,7 @@
 
 struct CompareOptions {
   std::string file;
+  std::string b_file;
   std::string a;
   std::string b;
   std::string seeds = "1..5";
@@ -96,7 +97,8 @@
 Outcome run_once(const RunOptions& options, const Scenario& scenario, const std::string& folder,
                  const std::string& relay) {
   const Plan plan = draw_plan(scenario, options.seed);
-  Played played = play(scenario, plan, {relay, folder, options.level, print_progress});
+  Played played = play(scenario, plan,
+                       {relay, folder, options.level, print_progress, fs::read_symlink("/proc/self/exe")});
   Outcome out;
   out.verdicts = check(played.history, rules_of(scenario, plan));
   out.figures = figures_of(scenario, played);
@@ -190,7 +192,16 @@
 
 int compare(const CompareOptions& options) {
   const Scenario scenario = read_scenario(options.file);
+  const std::string files[] = {options.file, options.b_file.empty() ? options.file : options.b_file};
+  const Scenario scenarios[] = {scenario, read_scenario(files[1])};
   const std::string builds[] = {program("--a", options.a), program("--b", options.b)};
+  if (files[0] == files[1] && builds[0] == builds[1]) {
+    throw net::BadInput("--a, --b, --b-file: name two builds, or a scenario for the other side");
+  }
+  if (draw_plan(scenarios[0], 1).text() != draw_plan(scenarios[1], 1).text()) {
+    throw net::BadInput("--b-file " + files[1] +
+                        ": draws another plan, so that the sides cannot be compared");
+  }
   const std::string folder = new_folder(options.out, scenario.name + "-compare", 0);
   std::vector<Pair> pairs;
   bool all_held = true;
@@ -200,12 +211,12 @@
     for (size_t turn = 0; turn < 2; ++turn) {
       const size_t side = (turn + seed) % 2;  // who is first changes with the seed
       RunOptions one;
-      one.file = options.file;
+      one.file = files[side];
       one.seed = seed;
       one.plots = false;
       const std::string here = folder + "/" + (side == 0 ? "a" : "b") + "-" + std::to_string(seed);
       fs::create_directories(here);
-      const Outcome out = run_once(one, scenario, here, builds[side]);
+      const Outcome out = run_once(one, scenarios[side], here, builds[side]);
       (side == 0 ? pair.a : pair.b) = out.figures;
       all_held = all_held && held(out.verdicts);
       measured = measured && out.figures.measured;
@@ -269,8 +280,11 @@
   static CompareOptions compare_options;
   CLI::App* compare_command = lab->add_subcommand("compare", "Play two builds by turns over the same seeds.");
   compare_command->add_option("FILE", compare_options.file, "the scenario, in TOML")->required();
-  compare_command->add_option("--a", compare_options.a, "a relay program")->required();
-  compare_command->add_option("--b", compare_options.b, "the other one")->required();
+  compare_command->add_option("--a", compare_options.a,
+                              "a relay program (default: umberhoist beside turntally)");
+  compare_command->add_option("--b", compare_options.b, "the other one (default the same)");
+  compare_command->add_option("--b-file", compare_options.b_file,
+                              "its scenario, where it is another one of the same load and faults");
   compare_command->add_option("--seeds", compare_options.seeds, "FROM..TO (default 1..5)");
   compare_command->add_option("--out", compare_options.out, "the runs' folder");
   compare_command->add_flag("--json", compare_options.json, "differences as JSON");
--- a/lab/compare.cpp
+++ b/lab/compare.cpp
@@ -50,6 +50,11 @@
       difference("latency_p99_s", pairs, [](const Figures& f) { return f.latency.p99; }),
       difference("attempts", pairs, [](const Figures& f) { return f.attempts; }),
       difference("refused", pairs, [](const Figures& f) { return f.refused; }),
+      difference("list_p50_s", pairs, [](const Figures& f) { return f.list.p50; }),
+      difference("list_p99_s", pairs, [](const Figures& f) { return f.list.p99; }),
+      difference("list_most_s", pairs, [](const Figures& f) { return f.list.most; }),
+      difference("lists_missed", pairs, [](const Figures& f) { return static_cast<double>(f.lists_missed); }),
+      difference("list_calls", pairs, [](const Figures& f) { return static_cast<double>(f.list_calls); }),
       difference("list_failed", pairs, [](const Figures& f) { return static_cast<double>(f.list_failed); }),
       difference("fallen", pairs, [](const Figures& f) { return static_cast<double>(f.fallen); }),
   };
--- a/lab/history.cpp
+++ b/lab/history.cpp
@@ -6,9 +6,9 @@
 namespace firspool::lab {
 namespace {
 
-constexpr const char* kNames[] = {"put",  "taken",   "refused", "rejected", "silence",
-                                  "call", "ran",     "answer",  "left",     "notice",
-                                  "told", "process", "link",    "door",     "usage"};
+constexpr const char* kNames[] = {"put",  "taken",  "refused", "rejected", "silence", "call",
+                                  "ran",  "answer", "left",    "notice",   "told",    "process",
+                                  "link", "door",   "usage",   "listed",   "heard"};
 
 }  // namespace
 
--- a/lab/history.h
+++ b/lab/history.h
@@ -26,6 +26,8 @@
              // (1)
   kDoor,     // receiver: endpoints out (text) and back; value as kLink
   kUsage,    // text: memory, descriptors, disk; value: what is used; limit: what may be
+  kListed,   // discovery's list changed; value: its revision
+  kHeard,  // a relay was written a list, or that what it has is the newest; value: discovery's revision in it
 };
 
 struct Event {
--- a/lab/invariants.cpp
+++ b/lab/invariants.cpp
@@ -323,6 +323,7 @@
       if (e.what != What::kProcess) continue;
       if (e.text == "start") ++alive_.checked;
       if (e.text == "exit") alive_.broken.push_back({"a relay ended by itself", {i}});
+      if (e.text == "member_exit") alive_.broken.push_back({"a member of the registry ended by itself", {i}});
       if (e.text == "late") alive_.broken.push_back({"a relay was not ready in time", {i}});
     }
   }
--- a/lab/platform.cpp
+++ b/lab/platform.cpp
@@ -1,5 +1,6 @@
 #include "platform.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -102,6 +103,7 @@
 
   void whole() {
     tell_all();
+    note_heard(owner_->revision_);
     answer(200, text(owner_->list(relay_)));
   }
 
@@ -116,6 +118,11 @@
     owner_->world_.note({0, What::kTold, relay_, where.receiver, where.endpoint, -1, 0, 0, phase});
   }
 
+  void note_heard(int revision) {
+    if (relay_ < 0 || !owner_->world_.to_discovery(relay_).open_at_caller(peer_)) return;
+    owner_->world_.note({0, What::kHeard, relay_, -1, -1, -1, static_cast<double>(revision), 0, ""});
+  }
+
   void finals(const std::string& body) {
     std::vector<std::pair<int, json>> told;
     std::istringstream lines(body);
@@ -180,6 +187,7 @@
       line = owner_->list(relay_);
       tell_all();
     }
+    note_heard(owner_->revision_);
     write(head + chunks(line));
     quiet();
   }
@@ -209,6 +217,7 @@
       line["members"].push_back(
           self->owner_->member(self->relay_, change.place, change.phase, change.up_since_ms));
       self->note_told(change.place, change.phase);
+      self->note_heard(change.revision);
       self->write(self->chunks(line));
       if (!self->pending_.empty()) self->wait_for_change();
     });
@@ -275,8 +284,10 @@
   const ReceiverPlan& receiver = world_.plan.receivers[static_cast<size_t>(where.receiver)];
   const EndpointPlan& endpoint = receiver.endpoints[static_cast<size_t>(where.endpoint)];
   const double weight = receiver.limit > 0 ? receiver.limit : receiver.capacity;
+  // The registry's mirror is no relay: it has no links of its own.
+  const auto& address = relay < 0 ? world_.endpoint_address(place) : world_.to_endpoint_address(relay, place);
   return {{"id", endpoint.id},
-          {"host_port", net::text_of(world_.to_endpoint_address(relay, place))},
+          {"host_port", net::text_of(address)},
           {"locality", world_.scenario.zones[static_cast<size_t>(endpoint.zone)]},
           {"flavor", world_.scenario.kinds[static_cast<size_t>(receiver.kind)].name},
           {"cell", receiver.number},
@@ -306,7 +317,9 @@
   if (entry.phase == phase) return;
   if (entry.phase == "left") entry.up_since_ms = net::wall_now() / 1000;
   entry.phase = phase;
-  changes_.push_back({++revision_, place, phase, entry.up_since_ms});
+  entry.revision = ++revision_;
+  changes_.push_back({revision_, place, phase, entry.up_since_ms});
+  world_.note({0, What::kListed, -1, -1, -1, -1, static_cast<double>(revision_), 0, ""});
   const net::Range& late = world_.scenario.discovery_late_s;
   const double after = random_.between(late.low, late.high);
   for (const auto& session : open_) {
@@ -339,6 +352,18 @@
   if (any) silent_.try_emplace(relay, world_.now());
 }
 
+int Platform::reached(const View& view) const {
+  int out = revision_;
+  for (size_t p = 0; p < entries_.size(); ++p) {
+    const Entry& entry = entries_[p];
+    const auto it = view.find(p);
+    const bool same =
+        it == view.end() ? entry.phase == "left" : it->second == std::pair(entry.phase, entry.up_since_ms);
+    if (!same) out = std::min(out, entry.revision - 1);
+  }
+  return out;
+}
+
 void Platform::down(bool out) {
   down_ = out;
   if (!out) return;
--- a/lab/platform.h
+++ b/lab/platform.h
@@ -29,7 +29,10 @@
     size_t failed = 0;  // that waited too long, or came while discovery was down
   };
   const Calls& calls() const { return calls_; }
-  void down(bool out);  // calls for lists fail and watches end; notices are taken
+  // What a relay was told of each place: phase, and when it came up.
+  using View = std::map<size_t, std::pair<std::string, int64_t>>;
+  int reached(const View& view) const;  // the revision up to which that is the list
+  void down(bool out);                  // calls for lists fail and watches end; notices are taken
 
  private:
   class Session;
@@ -42,6 +45,7 @@
   struct Entry {
     std::string phase = "active";
     int64_t up_since_ms = 0;
+    int revision = 1;  // of its last change
   };
 
   void accept();
--- a/lab/play.cpp
+++ b/lab/play.cpp
@@ -15,10 +15,13 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 
 #include "clients.h"
 #include "endpoints.h"
+#include "errors.h"
+#include "fleet.h"
 #include "platform.h"
 #include "process.h"
 
@@ -82,10 +85,14 @@
     await_children();
     fs::create_directories(options_.folder + "/log");
     fs::create_directories(options_.folder + "/state");
-    for (int i = 0; i < count(); ++i) start(i);
-    after(scenario_.ready_within_s, [this] {
-      if (!begun_) begin();
-    });
+    if (scenario_.registry_members > 0) {
+      fleet_.emplace(world_, platform_, options_.turntally, options_.folder, [this] { start_all(); });
+      after(scenario_.ready_within_s, [this] {
+        if (!started_) throw RegistryNotReady(scenario_.ready_within_s);
+      });
+    } else {
+      start_all();
+    }
     io_.run();
     Played out;
     out.history = std::move(world_.history);
@@ -106,6 +113,7 @@
     out.fallen = endpoints_.fallen();
     out.list_calls = platform_.calls().all;
     out.list_failed = platform_.calls().failed;
+    out.registry_watches = fleet_ ? fleet_->watches() : 0;
     out.unfinished = unfinished_;
     return out;
   }
@@ -195,23 +203,36 @@
               {"stop_sending_within_s", 1.0}}}};
   }
 
+  void start_all() {
+    started_ = true;
+    for (int i = 0; i < count(); ++i) start(i);
+    after(scenario_.ready_within_s, [this] {
+      if (!begun_) begin();
+    });
+  }
+
   void start(int i) {
     Relay& r = relay(i);
     const std::string& name = plan_.relays[static_cast<size_t>(i)].name;
     r.folder = options_.folder + "/state/" + name;
     fs::create_directories(r.folder);
     const std::string seed = net::hex(net::mix(plan_.seed + static_cast<uint64_t>(1000 * i + r.generation)));
-    const json config = {{"name", name},
-                         {"listen", net::text_of(world_.relay_address(i))},
-                         {"discovery", net::text_of(world_.to_discovery(i).address())},
-                         {"seed", seed},
-                         {"limits",
-                          {{"cores", 1.0},
-                           {"memory_mb", scenario_.memory_mb},
-                           {"sockets", scenario_.sockets},
-                           {"disk_mb", scenario_.disk_mb}}},
-                         {"known", platform_.list(i)},
-                         {"settings", settings(i)}};
+    json config = {{"name", name},
+                   {"listen", net::text_of(world_.relay_address(i))},
+                   {"discovery", net::text_of(world_.to_discovery(i).address())},
+                   {"seed", seed},
+                   {"limits",
+                    {{"cores", 1.0},
+                     {"memory_mb", scenario_.memory_mb},
+                     {"sockets", scenario_.sockets},
+                     {"disk_mb", scenario_.disk_mb}}},
+                   {"known", platform_.list(i)},
+                   {"settings", settings(i)}};
+    json members = json::array();
+    for (int m = 0; m < scenario_.registry_members; ++m) {
+      members.push_back(net::text_of(world_.to_registry(i, static_cast<size_t>(m)).address()));
+    }
+    if (!members.empty()) config["fleet"] = {{"registry", members}};
     const std::string path = options_.folder + "/" + name + ".json";
     std::ofstream(path) << config.dump(1) << "\n";
     Spawn what;
@@ -318,6 +339,7 @@
   }
 
   void reap() {
+    if (fleet_) fleet_->reap();
     for (int i = 0; i < count(); ++i) {
       Relay& r = relay(i);
       int status = 0;
@@ -501,6 +523,7 @@
       }
       r.process = r.before = -1;
     }
+    if (fleet_) fleet_->close();
     io_.stop();
   }
 
@@ -611,7 +634,12 @@
       all.reset = std::max(all.reset, r.states[k].reset);
     }
     if (sort == "clients") return world_.to_relay(i).set(all);
-    if (sort == "discovery") return world_.to_discovery(i).set(all);
+    if (sort == "discovery") {
+      for (int m = 0; m < scenario_.registry_members; ++m) {
+        world_.to_registry(i, static_cast<size_t>(m)).set(all);
+      }
+      return world_.to_discovery(i).set(all);
+    }
     for (size_t p = 0; p < world_.places().size(); ++p) world_.to_endpoint(i, p).set(all);
   }
 
@@ -668,6 +696,7 @@
   boost::asio::io_context io_{1};
   World world_;
   Platform platform_;
+  std::optional<Fleet> fleet_;
   Endpoints endpoints_;
   Clients clients_;
   boost::asio::signal_set children_;
@@ -682,7 +711,8 @@
   std::vector<double> lags_;
   int usage_turn_ = 0;
   int discovery_down_ = 0;
-  double first_ = 0;  // when the first arrival's second begins
+  double first_ = 0;      // when the first arrival's second begins
+  bool started_ = false;  // the relays, once the registry has the list
   bool begun_ = false;
   bool over_ = false;
 };
--- a/lab/play.h
+++ b/lab/play.h
@@ -13,7 +13,8 @@
   std::string relay;   // the program
   std::string folder;  // of the run; it exists and is empty
   std::string level = "info";
-  std::function<void(const std::string& line, bool last)> progress;  // about once a second; may be empty
+  std::function<void(const std::string& line, bool last)> progress{};  // about once a second; may be empty
+  std::string turntally{};  // the program of the registry's members, where relays follow one
 };
 
 struct Lateness {
@@ -32,7 +33,8 @@
   size_t fallen = 0;       // receivers pushed over
   size_t list_calls = 0;   // to discovery
   size_t list_failed = 0;  // of these, that waited too long or found it down
-  size_t unfinished = 0;   // messages taken on that had no end when the run was over
+  size_t registry_watches = 0;
+  size_t unfinished = 0;  // messages taken on that had no end when the run was over
 };
 
 // Throws an error of errors.h where a run cannot be set up; what goes wrong in it is in its history.
--- a/lab/registry_play.cpp
+++ b/lab/registry_play.cpp
@@ -702,7 +702,10 @@
           {"memory_mb", memory_mb}};
 }
 
-bool is_registry_scenario(const std::string& path) { return net::Section::file(path).has("registry"); }
+bool is_registry_scenario(const std::string& path) {
+  const net::Section file = net::Section::file(path);
+  return file.has("registry") && !file.table("registry").has("relays_follow");
+}
 
 RegistryScenario read_registry_scenario(const std::string& path) {
   return read(net::Section::file(path), fs::path(path).stem());
--- a/lab/registry_play.h
+++ b/lab/registry_play.h
@@ -45,7 +45,8 @@
   std::vector<RegistryFault> faults;
 };
 
-// Whether a file holds such a scenario. All three throw net::BadInput.
+// Whether a file holds such a scenario, rather than one of relays that follow a registry. All three throw
+// net::BadInput.
 bool is_registry_scenario(const std::string& path);
 RegistryScenario read_registry_scenario(const std::string& path);
 RegistryScenario parse_registry_scenario(const std::string& name, const std::string& toml);
--- a/lab/report.cpp
+++ b/lab/report.cpp
@@ -23,6 +23,7 @@
 constexpr double kLeastLatency = 1e-4;
 constexpr double kMostLatency = 100;
 constexpr int kBins = 1400;          // 1% each
+constexpr double kOnItsWay = 2;      // a list that is told, in seconds
 constexpr double kInStep = 0.005;    // the lab keeps time while its p99 lateness is under this
 constexpr size_t kShownBroken = 5;   // of each invariant
 constexpr size_t kShownEvents = 12;  // of each broken case
@@ -190,6 +191,10 @@
   row("connections made to endpoints", std::to_string(f.connections));
   row("calls to discovery for lists, of these failed",
       std::to_string(f.list_calls) + ", " + std::to_string(f.list_failed));
+  row("watches at the registry", std::to_string(f.registry_watches));
+  row("seconds until a relay had the newest list: p50, p99, most; times, and never",
+      round_to(f.list.p50, 3) + ", " + round_to(f.list.p99, 3) + ", " + round_to(f.list.most, 3) + "; " +
+          std::to_string(f.lists) + ", " + std::to_string(f.lists_missed));
   row("receivers pushed over", std::to_string(f.fallen));
   row("lateness of the lab: p50, p99, most (ms)", round_to(1000 * f.late_lab.p50_s, 2) + ", " +
                                                       round_to(1000 * f.late_lab.p99_s, 2) + ", " +
@@ -212,6 +217,48 @@
   return out;
 }
 
+// From a relay's start, or a change while it runs, to the first word that has the newest list. The starts
+// before the first arrival are the lab's own.
+void list_waits(const Scenario& scenario, const History& history, Figures& out) {
+  struct Wait {
+    double from = 0;
+    double revision = 0;
+  };
+  std::map<int, std::vector<Wait>> waits;  // of the relays that run
+  double newest = 0;
+  auto histogram = latency_axis();
+  for (const Event& e : history.events) {
+    if (e.what == What::kListed) {
+      newest = e.value;
+      for (auto& [relay, open] : waits) open.push_back({e.at, newest});
+    } else if (e.what == What::kProcess && e.text == "start") {
+      waits[e.relay] = {{e.at, newest}};
+    } else if (e.what == What::kProcess && (e.text == "killed" || e.text == "term" || e.text == "exit")) {
+      waits.erase(e.relay);
+    } else if (e.what == What::kHeard && waits.contains(e.relay)) {
+      std::erase_if(waits.at(e.relay), [&](const Wait& wait) {
+        if (wait.revision > e.value) return false;
+        if (wait.from < 0) return true;
+        ++out.lists;
+        histogram(e.at - wait.from);
+        out.list.most = std::max(out.list.most, e.at - wait.from);
+        return true;
+      });
+    }
+  }
+  // What came shortly before the run's end may still have been on its way.
+  const double last = history.events.empty() ? 0 : history.events.back().at;
+  for (const auto& [relay, open] : waits) {
+    out.lists_missed += static_cast<size_t>(std::count_if(open.begin(), open.end(), [&](const Wait& wait) {
+      return last - wait.from > scenario.discovery_late_s.high + kOnItsWay;
+    }));
+  }
+  out.list.p50 = quantile(histogram, 0.5);
+  out.list.p90 = quantile(histogram, 0.9);
+  out.list.p99 = quantile(histogram, 0.99);
+  out.list.p999 = quantile(histogram, 0.999);
+}
+
 }  // namespace
 
 Figures figures_of(const Scenario& scenario, const Played& played) {
@@ -256,6 +303,8 @@
   out.fallen = played.fallen;
   out.list_calls = played.list_calls;
   out.list_failed = played.list_failed;
+  out.registry_watches = played.registry_watches;
+  list_waits(scenario, played.history, out);
   out.late_lab = played.late;
   out.seconds = played.seconds;
   out.lab_cpu_s = played.lab_cpu_s;
@@ -283,6 +332,14 @@
           {"fallen", f.fallen},
           {"list_calls", f.list_calls},
           {"list_failed", f.list_failed},
+          {"registry_watches", f.registry_watches},
+          {"list_s",
+           {{"p50", f.list.p50},
+            {"p90", f.list.p90},
+            {"p99", f.list.p99},
+            {"most", f.list.most},
+            {"cases", f.lists},
+            {"missed", f.lists_missed}}},
           {"lab",
            {{"measured", f.measured},
             {"late_p50_s", f.late_lab.p50_s},
--- a/lab/report.h
+++ b/lab/report.h
@@ -35,6 +35,10 @@
   size_t fallen = 0;
   size_t list_calls = 0;
   size_t list_failed = 0;
+  size_t registry_watches = 0;
+  Latency list;             // until a relay that started, or whose list changed, was told the newest
+  size_t lists = 0;         // so many times
+  size_t lists_missed = 0;  // and so often never, while it ran
   Lateness late_lab;
   double seconds = 0;
   double lab_cpu_s = 0;
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -140,6 +140,14 @@
   out.discovery_form = discovery.word("form", out.discovery_form, {"line", "indented", "spaced", "pieces"});
   discovery.done();
 
+  if (root.has("registry")) {
+    const Section registry = root.table("registry");
+    if (!registry.flag("relays_follow", {}))
+      registry.refuse("relays_follow", "is false: leave [registry] out");
+    out.registry_members = registry.integer("members", 1, 1, 5);
+    registry.done();
+  }
+
   const Section recovery = root.table("recovery");
   out.cold_s = recovery.number("cold_s", out.cold_s, 0, 600);
   out.start_capacity = recovery.number("start_capacity", out.start_capacity, 0.01, 1);
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -125,6 +125,7 @@
   Range discovery_late_s{0, 1};
   std::string discovery_form = "line";  // how a list is written: on a line, indented over many, indented with
                                         // blank lines between, or in pieces that break anywhere
+  int registry_members = 0;             // of a registry that the relays follow; 0: they follow discovery
 
   double cold_s = 12;
   double start_capacity = 0.29;
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -55,6 +55,11 @@
     };
     to_relay_.push_back(link(Block::kToRelay, 6379, relay_address(i)));
     to_discovery_.push_back(link(Block::kToDiscovery, 8500, discovery_address()));
+    to_registry_.emplace_back();
+    for (int m = 0; m < scenario.registry_members; ++m) {
+      to_registry_.back().push_back(
+          link(Block::kToDiscovery, 8600 + m, door_address(static_cast<size_t>(m))));
+    }
     to_endpoint_.emplace_back();
     for (size_t p = 0; p < places_.size(); ++p) {
       to_endpoint_.back().push_back(
--- a/lab/world.h
+++ b/lab/world.h
@@ -60,6 +60,7 @@
     return to_endpoint_[static_cast<size_t>(relay)][place]->address();
   }
   Link& to_discovery(int relay) { return *to_discovery_[static_cast<size_t>(relay)]; }
+  Link& to_registry(int relay, size_t member) { return *to_registry_[static_cast<size_t>(relay)][member]; }
   Link& to_relay(int relay) { return *to_relay_[static_cast<size_t>(relay)]; }
   tcp::endpoint relay_address(int relay) const { return {block_.of(Block::kRelay, relay), 6379}; }
   tcp::endpoint control_address(int relay, int generation) const;
@@ -67,6 +68,16 @@
     return block_.party(1, 7000 + static_cast<int>(place));
   }
   tcp::endpoint discovery_address() const { return block_.party(2, 8500); }
+  tcp::endpoint member_http(size_t member) const { return block_.party(10 + static_cast<int>(member), 7101); }
+  tcp::endpoint member_raft(size_t member) const { return block_.party(10 + static_cast<int>(member), 7201); }
+  // Where relays' links to a member of the registry end.
+  tcp::endpoint door_address(size_t member) const { return block_.party(3, 8600 + static_cast<int>(member)); }
+  const std::string& endpoint_id(size_t place) const {
+    const Place& where = places_[place];
+    return plan.receivers[static_cast<size_t>(where.receiver)]
+        .endpoints[static_cast<size_t>(where.endpoint)]
+        .id;
+  }
 
   boost::asio::io_context& io;
   const Scenario& scenario;
@@ -82,6 +93,7 @@
   std::map<boost::asio::ip::address, int> relays_;
   std::vector<std::unique_ptr<Link>> to_relay_;
   std::vector<std::unique_ptr<Link>> to_discovery_;
+  std::vector<std::vector<std::unique_ptr<Link>>> to_registry_;
   std::vector<std::vector<std::unique_ptr<Link>>> to_endpoint_;
 };
 
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -57,6 +57,8 @@
 
 TEST(Scenario, RefusesWhatItDoesNotKnowWithTheNearestKey) {
   EXPECT_EQ(refusal(kPlain), "");
+  EXPECT_EQ(refusal(kPlain + "[registry]\nrelays_follow = true\nmembers = 3\n"), "");
+  EXPECT_NE(refusal(kPlain + "[registry]\nrelays_follow = false\n").find("relays_follow"), std::string::npos);
   EXPECT_EQ(refusal("name = \"x\"\n[load]\nrtae = 3\n[[receivers]]\nname = \"r\"\n"),
             "s.toml:3: load.rtae: is not known; did you mean 'rate'?");
   EXPECT_EQ(refusal("name = \"x\"\n[load]\nrate = -3\n[[receivers]]\nname = \"r\"\n"),
@@ -277,7 +279,7 @@
       : scenario(parse_scenario("test", kPlain + faults)) {
     scenario.seconds = seconds;
     plan = draw_plan(scenario, seed);
-    played = play(scenario, plan, {UMBERHOIST, folder.path, "debug", {}});
+    played = play(scenario, plan, {UMBERHOIST, folder.path, "debug", {}, TURNTALLY});
     verdicts = check(played.history, rules_of(scenario, plan));
     said = summary(played.history, verdicts);
   }
@@ -368,6 +370,41 @@
   EXPECT_GT(run.told("leaving"), 0U);
 }
 
+// Discovery hears of one caller only, the mirror; what it tells reaches relays that were killed or cut off.
+TEST(Lab, PlaysRelaysThatFollowARegistryAndAllInvariantsHold) {
+  const LabRun run(R"(
+[registry]
+relays_follow = true
+members = 3
+[[fault]]
+kind = "kill"
+at_s = 0.5
+for_s = 0.7
+share = 0.6
+[[fault]]
+kind = "upgrade"
+at_s = 1.8
+share = 0.3
+[[fault]]
+kind = "drain"
+at_s = 1
+for_s = 1
+[[fault]]
+kind = "cut"
+at_s = 2.5
+for_s = 0.5
+links = "discovery"
+share = 0.3
+)");
+  EXPECT_TRUE(held(run.verdicts)) << run.said;
+  const Figures figures = figures_of(run.scenario, run.played);
+  EXPECT_EQ(figures.lists_missed, 0U);
+  EXPECT_GE(figures.lists, 2U + 2U + 3U * 2U);  // two that came back; two endpoints leave, and have left
+  EXPECT_GE(figures.registry_watches, 5U);
+  EXPECT_EQ(figures.list_calls, 1U);
+  EXPECT_GT(figures.in_time, 0.9);
+}
+
 // A relay that says +OK and does nothing: the lab must see it.
 TEST(Lab, SeesAStandInRelayThatLosesMessages) {
   Folder folder;
