--- a/cli/errors.h
+++ b/cli/errors.h
@@ -28,7 +28,7 @@
 class NotListed : public net::Error {
  public:
   explicit NotListed(const std::string& id)
-      : Error("not_listed", net::Family::kMisuse, "'" + id + "' is not listed",
+      : Error("endpoint_not_listed", net::Family::kMisuse, "'" + id + "' is not listed",
               "see turntally targets list for the ids") {}
 };
 
--- a/controller/errors.h
+++ b/controller/errors.h
@@ -17,10 +17,8 @@
 class Fenced : public net::Error {
  public:
   explicit Fenced(const std::string& who)
-      : Error(
-            "lease_fenced", net::Family::kRefused, who + " has seen a later holder of this lease",
-            "nothing, after a hand-over or a stop of this process; where it comes again and again, look for "
-            "another registry whose controllers change the same things") {}
+      : Error("lease_fenced", net::Family::kRefused, who + " has seen a later holder of this lease",
+              net::kFencedAction) {}
 };
 
 // Asked rightly, and refused: a status that is neither well nor a fence.
@@ -43,7 +41,7 @@
 class FolderUnusable : public net::Error {
  public:
   explicit FolderUnusable(const std::string& what)
-      : Error("folder_unusable", net::Family::kBroken, what,
+      : Error("backup_folder_unusable", net::Family::kBroken, what,
               "make room, or make the folder writable for the controller; it tries again by itself") {}
 };
 
--- a/net/error.h
+++ b/net/error.h
@@ -17,6 +17,11 @@
   kUnknown   // it may have been done: 4
 };
 
+// The action of `lease_fenced`: registry, relay and controller answer or log it alike.
+inline constexpr char kFencedAction[] =
+    "after a hand-over or a stop, nothing: the holder of now goes on; else turntally registry status shows "
+    "it";
+
 class Error : public std::runtime_error {
  public:
   // `code`: lower case with underscores, never changed once released. `what`: one line. `action`: one line.
--- a/registry/errors.h
+++ b/registry/errors.h
@@ -106,8 +106,7 @@
 };
 struct LeaseFenced : Error {
   explicit LeaseFenced(const std::string& what)
-      : Error(409, "lease_fenced", net::Family::kRefused, what,
-              "nothing to do: the holder of now goes on; turntally registry status shows it") {}
+      : Error(409, "lease_fenced", net::Family::kRefused, what, net::kFencedAction) {}
 };
 struct LeaseUnknown : Error {
   explicit LeaseUnknown(const std::string& what)
--- a/relay/fence.cpp
+++ b/relay/fence.cpp
@@ -23,8 +23,7 @@
     : FenceError("lease_fenced", Family::kRefused,
                  "token " + std::to_string(claim.token) + " of lease " + claim.lease +
                      " is over: this relay has seen " + std::to_string(highest),
-                 "leave the task to the lease's holder now (GET /api/leases at the registry), or call "
-                 "without X-Lease") {}
+                 net::kFencedAction) {}
 
 LeaseNamesFull::LeaseNamesFull(const std::string& lease)
     : FenceError("lease_names_full", Family::kRefused,
