Lab: plays of leases, real controllers and registry members with faults between them

`turntally lab run` takes files with a [lease] table: controllers with a link of their own to each member and each thing, eleven scenarios, and faults for holder, waiting, leader, majority and things: kill, term, stop, cut by side and direction, slow answers, clocks of 0.9 and 1.1, full disks, lost folders, hand-overs with a receiver that dies, backups put back over a grant.

--- a/cli/lab.cpp
+++ b/cli/lab.cpp
@@ -4,12 +4,14 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <set>
 
 #include "command.h"
 #include "errors.h"
 #include "lab/compare.h"
+#include "lab/lease_play.h"
 #include "lab/registry_play.h"
 
 namespace firspool::cli {
@@ -108,42 +110,79 @@
   return out;
 }
 
-// A scenario of the registry's own processes.
-int run_registry(const RunOptions& options) {
-  const RegistryScenario scenario = read_registry_scenario(options.file);
-  const std::string folder = new_folder(options.out, scenario.name, options.seed);
+// What plays of the registry and of leases share: `play` fills a folder and says what was reached, as figures
+// and as text.
+struct Reached {
+  nlohmann::ordered_json figures;
+  std::string text;
+  std::vector<Verdict> verdicts;
+};
+
+int run_processes(const RunOptions& options, const std::string& name,
+                  const std::function<Reached(const std::string& program, const std::string& folder)>& play) {
+  const std::string folder = new_folder(options.out, name, options.seed);
   fs::copy_file(options.file, folder + "/scenario.toml");
   std::ofstream(folder + "/seed") << options.seed << "\n";
-  const RegistryPlayed out = play_registry(
-      scenario, {fs::read_symlink("/proc/self/exe"), folder, options.seed, options.level, print_progress});
-  nlohmann::ordered_json figures = out.figures();
-  figures["invariants"] = nlohmann::ordered_json::object();
+  Reached out = play(fs::read_symlink("/proc/self/exe"), folder);
+  out.figures["invariants"] = nlohmann::ordered_json::object();
   for (const Verdict& v : out.verdicts) {
-    figures["invariants"][v.name] = {{"cases", v.checked}, {"broken", v.broken.size()}};
+    out.figures["invariants"][v.name] = {{"cases", v.checked}, {"broken", v.broken.size()}};
   }
-  std::ofstream(folder + "/figures.json") << figures.dump(2) << "\n";
+  std::ofstream(folder + "/figures.json") << out.figures.dump(2) << "\n";
   if (options.json) {
-    std::printf("%s\n", figures.dump(2).c_str());
+    std::printf("%s\n", out.figures.dump(2).c_str());
   } else {
-    std::printf(
-        "%s, seed %llu: %zu faults; %zu writes (%zu refused, %zu unknown), p50 %.1f ms, p99 %.1f ms, "
-        "longest time without one %.2f s; %zu reads, %zu lines told\n",
-        scenario.name.c_str(), static_cast<unsigned long long>(options.seed), out.faults, out.writes,
-        out.refused, out.unknown, out.write_p50_ms, out.write_p99_ms, out.no_writes_s, out.reads, out.lines);
-    if (scenario.crowd > 0) {
-      std::printf(
-          "from a write to the last of %d watches: p50 %.1f ms, p99 %.1f ms; member's memory %.0f MB at "
-          "most\n",
-          scenario.crowd, out.crowd_p50_ms, out.crowd_p99_ms, out.memory_mb);
-    }
-    std::printf("folder: %s\n", folder.c_str());
+    std::printf("%s, seed %llu: %s\nfolder: %s\n", name.c_str(),
+                static_cast<unsigned long long>(options.seed), out.text.c_str(), folder.c_str());
   }
   std::printf("%s\n", summary({}, out.verdicts).c_str());
   return held(out.verdicts) ? kHeld : kBroken;
 }
 
+int run_registry(const RunOptions& options) {
+  const RegistryScenario scenario = read_registry_scenario(options.file);
+  return run_processes(options, scenario.name, [&](const std::string& turntally, const std::string& folder) {
+    const RegistryPlayed out =
+        play_registry(scenario, {turntally, folder, options.seed, options.level, print_progress});
+    char text[400];
+    int used = std::snprintf(text, sizeof(text),
+                             "%zu faults; %zu writes (%zu refused, %zu unknown), p50 %.1f ms, p99 %.1f ms, "
+                             "longest time without one %.2f s; %zu reads, %zu lines told",
+                             out.faults, out.writes, out.refused, out.unknown, out.write_p50_ms,
+                             out.write_p99_ms, out.no_writes_s, out.reads, out.lines);
+    if (scenario.crowd > 0) {
+      std::snprintf(text + used, sizeof(text) - static_cast<size_t>(used),
+                    "\nfrom a write to the last of %d watches: p50 %.1f ms, p99 %.1f ms; member's memory "
+                    "%.0f MB at most",
+                    scenario.crowd, out.crowd_p50_ms, out.crowd_p99_ms, out.memory_mb);
+    }
+    return Reached{out.figures(), text, out.verdicts};
+  });
+}
+
+int run_leases(const RunOptions& options) {
+  const LeaseScenario scenario = read_lease_scenario(options.file);
+  return run_processes(options, scenario.name, [&](const std::string& turntally, const std::string& folder) {
+    const LeasePlayed out =
+        play_leases(scenario, {turntally, folder, options.seed, options.level, print_progress});
+    const nlohmann::ordered_json figures = out.to_json();
+    const auto number = [&](const char* key) { return figures[key].get<double>(); };
+    char text[500];
+    std::snprintf(text, sizeof(text),
+                  "%zu faults; %zu acts (%zu refused, %zu late, %zu repeated), %zu grants, %.1f renewals a "
+                  "second\n%zu failovers: p50 %.2f s, p99 %.2f s; %zu hand-overs: p50 %.3f s, most %.3f s; "
+                  "lab: p99 %.2f ms late",
+                  out.faults, out.figures.acts, out.figures.refused, out.figures.late, out.figures.repeated,
+                  out.figures.grants, out.renewals, out.figures.failovers_s.size(), number("failover_p50_s"),
+                  number("failover_p99_s"), out.figures.hand_overs_s.size(), number("hand_over_p50_s"),
+                  number("hand_over_most_s"), out.lab_p99_ms);
+    return Reached{figures, text, out.verdicts};
+  });
+}
+
 int run(const RunOptions& options) {
   if (is_registry_scenario(options.file)) return run_registry(options);
+  if (is_lease_scenario(options.file)) return run_leases(options);
   const Scenario scenario = read_scenario(options.file);
   const std::string relay = program("--relay", options.relay);
   const std::string folder = new_folder(options.out, scenario.name, options.seed);
