--- a/lab/lease_play.h
+++ b/lab/lease_play.h
@@ -19,7 +19,7 @@
     kTerm,      // SIGTERM; back for_s after its end
     kStop,      // SIGSTOP, SIGCONT after for_s
     kCut,       // a controller's links (`links`, `way`); a member's to the other members
-    kSlow,      // what a controller's links say comes late_ms later
+    kSlow,      // what a controller is answered comes late_ms later; way = to: what it asks
     kLose,      // a member is killed, and its folder emptied
     kClock,     // a controller is killed, and its clock runs at `rate` from then on, for for_s
     kDisk,      // no room on a member's disk
@@ -35,7 +35,7 @@
   int times = 1;
   bool on_grant = false;           // not at that time, but right after the next grant from then on
   std::string links = "registry";  // registry, things, both
-  std::string way = "both";        // to, from
+  std::string way = "both";        // to, from; of kSlow: from, where nothing is said
   double late_ms = 0;
   double rate = 1;
   bool then_kill = false;
--- a/lab/link.h
+++ b/lab/link.h
@@ -26,8 +26,9 @@
   double loss =
       0;  // share of what is sent that comes later, by 200 ms and twice as long for each further loss
   double delay_s = 0;
-  double late_s = 0;  // as delay_s, towards the caller only
-  double reset = 0;   // share of what is sent on which the connection is reset instead
+  double late_to_s = 0;    // as delay_s, towards the target only
+  double late_from_s = 0;  // and towards the caller only
+  double reset = 0;        // share of what is sent on which the connection is reset instead
   bool operator==(const LinkState&) const = default;
 };
 
--- a/tests/lease_play_test.cpp
+++ b/tests/lease_play_test.cpp
@@ -92,6 +92,16 @@
   EXPECT_FALSE(out.figures.hand_overs_s.empty());
 }
 
+// What the fence is for: the dead holder's last acts arrive between those of its successor.
+TEST_F(LeasePlays, ActsOfADeadHolderThatComeLateAreRefused) {
+  const auto out = play(
+      "seconds = 3\nsettle_s = 1\n"
+      "[[fault]]\nkind = \"slow\"\nat_s = 0.2\nfor_s = 2\nlinks = \"things\"\nway = \"to\"\nlate_ms = 1400\n"
+      "[[fault]]\nkind = \"kill\"\nat_s = 0.5\n");
+  EXPECT_EQ(out.faults, 2U);
+  EXPECT_GE(out.figures.refused, 1U);
+}
+
 TEST_F(LeasePlays, AHoldersClockIsSlow) {
   const auto out = play(
       "seconds = 3\nsettle_s = 1\n"
