Registry: a leader that has just started goes by the log's time

A member that restarts and leads hears that it leads before it has applied what was written before, and took the log's time from its empty state. Change: what a leader applies moves its clock up to the log's time, never back, and its count starts there.

Test: LeasePlays.ALeaseLapsesAfterTheRegistryWasStartedAgain.

--- a/registry/service.cpp
+++ b/registry/service.cpp
@@ -406,6 +406,12 @@
   figures_.leases.expired += after.expired - leases.expired;
   figures_.leases.renewed += after.renewed - leases.renewed;
   figures_.leases.fenced += after.fenced - leases.fenced + (answer.kind == registry::Answer::Kind::kFenced);
+  // A member that leads soon after its start learns only now how far the log's time had come: until its own
+  // clock had caught up, as long again as the log is old, no time would pass and no lease lapse.
+  if (leads() && state_.now() * 1000 > clock_us_) {
+    clock_us_ = state_.now() * 1000;
+    read_ = net::steady_now();
+  }
   if (state_.compacted() != compacted) ++figures_.compactions;
   if (state_.revision() != before) hub_->changed();
 }
--- a/tests/lease_play_test.cpp
+++ b/tests/lease_play_test.cpp
@@ -102,6 +102,18 @@
   EXPECT_GE(out.figures.refused, 1U);
 }
 
+// A leader that knew nothing of the log when it began to lead stamped times from its start on: no time passed
+// until they had caught up with the log's.
+TEST_F(LeasePlays, ALeaseLapsesAfterTheRegistryWasStartedAgain) {
+  const auto out = play(
+      "seconds = 5.5\nsettle_s = 0.5\nraft_ms = 15\n"
+      "[[fault]]\nkind = \"kill\"\nwho = \"all\"\nat_s = 5\nfor_s = 0.1\n"
+      "[[fault]]\nkind = \"kill\"\nat_s = 5.3\n");
+  EXPECT_EQ(out.faults, 4U);
+  ASSERT_EQ(out.figures.failovers_s.size(), 1U);
+  EXPECT_LT(out.figures.failovers_s[0], 5);  // the log is some 7 s old
+}
+
 TEST_F(LeasePlays, AHoldersClockIsSlow) {
   const auto out = play(
       "seconds = 3\nsettle_s = 1\n"
