--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -17,9 +17,17 @@
 
 namespace fs = std::filesystem;
 
+// A relay's limit of memory is that of the program as it is built for service.
+#ifdef __SANITIZE_ADDRESS__
+const std::string kMemory = "512";
+#else
+const std::string kMemory = "128";
+#endif
+
 const std::string kPlain = R"(
 name = "plain"
 [fleet]
+memory_mb = )" + kMemory + R"(
 relays = 3
 zones = ["a", "b"]
 [load]
