Registry: a mirror's write that comes late undoes nothing

Cause: a lease keeps two mirrors' writes apart, not two of one: a PUT that its holder gave up after a time-out and made again, together with what followed, could be applied last and bring a drained endpoint back as active.

Without a number all is as before.

--- a/controller/mirror.cpp
+++ b/controller/mirror.cpp
@@ -172,6 +172,7 @@
 void MirrorTask::put(const json& line) {
   json body = line;
   body["source"] = config_.mirror.source;
+  body["serial"] = ++serial_;
   out_now_ = true;
   act_at_registry({"PUT", "/api/mirror", {{"Content-Type", "application/json"}}, body.dump(), kCall},
                   [this, line](const std::optional<net::HttpReply>& reply) { written(line, reply); });
--- a/controller/mirror.h
+++ b/controller/mirror.h
@@ -58,6 +58,7 @@
   std::shared_ptr<net::Lines> stream_;
   bool alive_watch_ = false;  // a line came on this stream
   bool out_now_ = false;      // a write: one at a time, as they come in order
+  uint64_t serial_ = 0;       // of the last one in this grant: one that was given up may still arrive
   boost::asio::steady_timer pause_;
   boost::asio::steady_timer retry_;
   boost::asio::steady_timer confirm_;
--- a/registry/service.cpp
+++ b/registry/service.cpp
@@ -858,6 +858,7 @@
   }
   command.number = field<Revision>(body, "revision", 0);
   command.whole = field<bool>(body, "complete", false);
+  command.serial = field<uint64_t>(body, "serial", 0);
   const json members = field<json>(body, "members", json::array());
   if (!members.is_array()) throw std::invalid_argument("members: is no list");
   for (const json& one : members) {
--- a/registry/state.cpp
+++ b/registry/state.cpp
@@ -79,6 +79,7 @@
     out.push_back(command.fence);
     out.push_back(command.fence_token);
     out.push_back(command.whole);
+    if (command.serial != 0) out.push_back(command.serial);
   }
   return to_bytes(out);
 }
@@ -104,6 +105,7 @@
     out.fence = j.at(7);
     out.fence_token = j.at(8);
     if (j.size() > 9) out.whole = j.at(9);
+    if (j.size() > 10) out.serial = j.at(10);
   }
   return out;
 }
@@ -214,8 +216,15 @@
   set(index, id, {});
 }
 
+// The lease keeps apart the calls of two holders; those of one may overtake each other on their way.
+bool State::late(const Command& command) const {
+  const auto it = sources_.find(command.text);
+  return command.serial != 0 && it != sources_.end() && it->second.token == command.fence_token &&
+         command.serial < it->second.serial;
+}
+
 void State::mirror(Revision index, const Command& command) {
-  sources_[command.text] = {command.number, now_};
+  sources_[command.text] = {command.number, now_, command.fence_token, command.serial};
   std::set<std::string> named;
   for (const Item& item : command.items) {
     named.insert(item.id);
@@ -352,6 +361,10 @@
       leases_.lead(now_);
       break;
     case Command::Kind::kMirror:
+      if (late(command)) {
+        answer = {Answer::Kind::kConflict, sources_.at(command.text).serial, command.text};
+        break;
+      }
       mirror(index, command);
       answer.revision = revision_;
       break;
@@ -375,7 +388,7 @@
   drains_.clear();
   for (const Item& item : command.items) {
     if (!item.entry) drains_[item.id] = base_ + at;
-    if (item.entry && !item.entry->owner.empty()) sources_[item.entry->owner] = {0, now_};
+    if (item.entry && !item.entry->owner.empty()) sources_[item.entry->owner] = {0, now_, 0, 0};
     set(base_ + at, item.id, item.entry);
     if (item.entry && item.entry->ttl_ms > 0) due_[item.id] = now_ + item.entry->ttl_ms;
   }
@@ -406,7 +419,8 @@
     answers.push_back({request, static_cast<int>(a.kind), a.revision, a.id});
   }
   json sources = json::object();
-  for (const auto& [name, source] : sources_) sources[name] = {source.revision, source.confirmed_ms};
+  for (const auto& [name, source] : sources_)
+    sources[name] = {source.revision, source.confirmed_ms, source.token, source.serial};
   const json limits = {limits_.kept_changes,  limits_.kept_requests, limits_.leave_ms,
                        limits_.lapse_span_ms, limits_.lapse_share,   limits_.lapse_least};
   return to_bytes({kFormat, limits, base_, revision_, compacted_, now_, identity_, members_, entries, due_,
@@ -438,7 +452,10 @@
   out.lapsed_ = j.at(14).get<std::set<std::string>>();
   if (j.at(0) == 1) return out;
   out.leases_ = Leases::unpack(j.at(16), unpack_limits(j.at(15)));
-  for (const auto& [name, source] : j.at(17).items()) out.sources_[name] = {source.at(0), source.at(1)};
+  for (const auto& [name, source] : j.at(17).items()) {
+    out.sources_[name] = {source.at(0), source.at(1), source.size() > 3 ? source.at(2).get<Token>() : 0,
+                          source.size() > 3 ? source.at(3).get<uint64_t>() : 0};
+  }
   out.drains_ = j.at(18).get<std::map<std::string, Revision>>();
   return out;
 }
--- a/registry/state.h
+++ b/registry/state.h
@@ -80,6 +80,8 @@
   std::string fence{};    // the lease under which this is written: it must stand, or nothing changes
   Token fence_token = 0;  // and its grant
   bool whole = false;     // kMirror: what the source does not name has left
+  uint64_t serial =
+      0;  // kMirror: grows with each call of a grant, so that a late one changes nothing; 0: none
 };
 
 // CBOR, for the log. decode throws std::exception on what is no command.
@@ -89,7 +91,8 @@
 struct Answer {
   enum class Kind { kDone, kConflict, kUnknown, kFenced };
   Kind kind = Kind::kDone;
-  // kDone: of the change, or of the state where nothing changed; kConflict: of the entry; kFenced: the token
+  // kDone: of the change, or of the state where nothing changed; kConflict: of the entry, or the serial
+  // that a source is at; kFenced: the token
   // of the grant that stands, 0 where there is none.
   Revision revision = 0;
   std::string id;                         // kConflict, kUnknown, kFenced: which
@@ -109,6 +112,8 @@
 struct Source {
   Revision revision = 0;
   Millis confirmed_ms = 0;  // that its list was current
+  Token token = 0;          // under which it was written last
+  uint64_t serial = 0;      // and the greatest of that grant's calls
   bool operator==(const Source&) const = default;
 };
 
@@ -153,6 +158,7 @@
   void write(Revision index, const Item& item);
   void mirror(Revision index, const Command& command);
   void leave(Revision index, const std::string& id);
+  bool late(const Command& command) const;
   void forget_sources();
   void found(uint64_t at, const Command& command);
   void remember(const std::string& request, const Answer& answer);
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -249,6 +249,30 @@
   return s.entries().contains(id) ? s.entries().at(id).phase : "left";
 }
 
+// A write that its holder gave up and made again arrives after what followed it.
+TEST(Mirror, AWriteThatComesLateChangesNothing) {
+  State s;
+  s.apply(1, found(0));
+  const Token token = s.apply(2, lease(kCampaign, "h", 30'000)).lease->token;
+  const auto numbered = [](Command command, Token by, uint64_t serial) {
+    command = under(std::move(command), by);
+    command.serial = serial;
+    return decode(encode(command));
+  };
+  const Command first = numbered(mirror({{"a", entry("a"), {}}}, true), token, 1);
+  const Command second = numbered(mirror({{"a", leaving("a"), {}}}), token, 2);
+  EXPECT_EQ(s.apply(3, first).kind, Answer::Kind::kDone);
+  EXPECT_EQ(s.apply(4, second).kind, Answer::Kind::kDone);
+  s = State::restore(s.snapshot());
+  EXPECT_EQ(s.apply(5, first), (Answer{Answer::Kind::kConflict, 2, "d"}));
+  EXPECT_EQ(s.apply(6, second).kind, Answer::Kind::kDone);  // the same one again
+  EXPECT_EQ(phase(s, "a"), "leaving");
+  // A later grant counts from its own beginning.
+  const Token later = s.apply(7, lease(kCampaign, "i", 60'000)).lease->token;
+  EXPECT_EQ(s.apply(8, numbered(mirror({{"a", entry("a"), {}}}, true), later, 1)).kind, Answer::Kind::kDone);
+  EXPECT_EQ(phase(s, "a"), "active");
+}
+
 TEST(State, MirrorsOnlyWhatItsSourceOwns) {
   State s;
   s.apply(1, write({{"mine", entry("mine"), {}}}));
