Leases: a candidate that gets nothing says why

Cause: Shell::note, which logs lease_not_answered and fills lease_trouble in /status, was called by nobody. Tried as a new user: a controller on a registry founded just before was silent for 29 s, until the first grant.

Change: each answer is noted.

Measured: ShellTest.SaysWhyItGetsNothingUntilItGetsIt fails without the line (seen); the six shell tests pass under ASan and UBSan.

--- a/lease/shell.cpp
+++ b/lease/shell.cpp
@@ -154,6 +154,7 @@
       {"POST", "/api/leases/" + settings_.holder.name, {}, body.dump(), in_ms(settings_.holder.answer)},
       [this, number = ask.number](const std::optional<net::HttpReply>& reply) {
         place_ = 0;
+        note(reply);
         take(holder_.answered(now(), number, parsed(reply, place_)));
       });
 }
--- a/tests/lease_shell_test.cpp
+++ b/tests/lease_shell_test.cpp
@@ -109,6 +109,18 @@
   }
 }
 
+// A registry that grants nothing, and why, must not look like one that is not asked.
+TEST_F(ShellTest, SaysWhyItGetsNothingUntilItGetsIt) {
+  Member only(io_);
+  only.down = true;
+  begin({only.address()});
+  until([this] { return !shell_->trouble().empty(); });
+  EXPECT_NE(shell_->trouble(), "");
+  only.down = false;
+  until_held();
+  EXPECT_EQ(shell_->trouble(), "");
+}
+
 TEST_F(ShellTest, IsNotHeldAnyLongerWhereTheLoopStoodStill) {
   const auto lasts = [this](double rate) {
     Member member(io_);
