Operators' address: a call that crosses another's connection is answered

Cause: with all 16 places taken, Control::accept closed the oldest caller at once for a newcomer, whatever had come from it. Its call could already be there: unread, so that the close was a reset, or read by the event loop with its handler queued behind the newcomer's, so that it was dropped. The caller got no answer and its call was not carried out.

Change: the newcomer is let in first, and a place is made behind the handlers of what came with it (Control::make_room): the oldest goes that is owed nothing, with no answer being written and nothing unread. Where there is none, no other is let in for 50 ms; calls, answers and their ends have their bounds, so this ends.

Ruled out by reading: a call that is there when its 2 s are over after a pause of the process (Beast takes the read's end first), an answer overtaken by a reset after it (linger() was there, 200 ms, and the answer goes out in the turn in which it is made).

--- a/relay/control.cpp
+++ b/relay/control.cpp
@@ -1,5 +1,7 @@
 #include "control.h"
 
+#include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -102,6 +104,12 @@
     });
   }
 
+  // It is owed nothing: its call has not come whole, or its answer is written, and nothing is unread.
+  bool spare() const {
+    Error error;
+    return !answering_ && (stream_.socket().available(error) == 0 || error);
+  }
+
   void close() {
     Error ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
@@ -129,6 +137,7 @@
   }
 
   void answer(OperatorReply reply) {
+    answering_ = true;
     answer_.version(11);
     answer_.result(static_cast<unsigned>(reply.status));
     answer_.set(http::field::content_type, reply.json ? "application/json" : "text/plain; version=0.0.4");
@@ -140,6 +149,7 @@
     http::async_write(stream_, answer_, [self = shared_from_this()](const Error& error, size_t) {
       if (self->owner_ == nullptr) return;
       if (error) return self->close();
+      self->answering_ = false;
       Error ignored;
       self->stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
       self->stream_.expires_after(kLinger);
@@ -162,6 +172,7 @@
   boost::beast::flat_buffer buffer_{kMostHead + kMostBody};
   http::request_parser<http::string_body> parser_;
   http::response<http::string_body> answer_;
+  bool answering_ = false;
 };
 
 Control::Control(boost::asio::io_context& io, const tcp::endpoint& listen, Handle handle)
@@ -184,12 +195,24 @@
       });
       return;
     }
-    // Callers that say nothing must not shut out one that does.
-    if (callers_.size() >= kMostCallers) std::shared_ptr<Caller>(callers_.front())->close();
     auto caller = std::make_shared<Caller>(*this, std::move(socket));
     caller->place = callers_.insert(callers_.end(), caller);
     caller->read();
-    accept();
+    if (callers_.size() <= kMostCallers) return accept();
+    boost::asio::post(acceptor_.get_executor(), [this] { make_room(); });
+  });
+}
+
+// Callers that say nothing must not shut out one that does. What had come when the newcomer did is heard
+// first: this runs behind its handlers.
+void Control::make_room() {
+  const auto last = callers_.empty() ? callers_.end() : std::prev(callers_.end());
+  const auto spare = std::find_if(callers_.begin(), last, [](const auto& caller) { return caller->spare(); });
+  if (callers_.size() > kMostCallers && spare != last) std::shared_ptr<Caller>(*spare)->close();
+  if (callers_.size() <= kMostCallers) return accept();
+  pause_.expires_after(kAcceptPause);
+  pause_.async_wait([this](const Error& stopped) {
+    if (!stopped) make_room();
   });
 }
 
--- a/relay/control.h
+++ b/relay/control.h
@@ -32,7 +32,8 @@
  public:
   using Handle = std::function<OperatorReply(const OperatorCall&)>;
 
-  // Most callers at once. Beyond that the one that has kept its call back for longest goes.
+  // Most callers at once. Beyond that the one that has kept its call back for longest goes, and until one has
+  // gone no other is let in.
   static constexpr size_t kMostCallers = 16;
 
   // Listens at once; throws boost::system::system_error.
@@ -45,6 +46,7 @@
   class Caller;
 
   void accept();
+  void make_room();
 
   tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
