Calls: an answer that breaks off inside its first line delivers nothing

Change: a first line proves a delivery only with its line's end. The message may have run, so it is tried again only where its class allows.

Measured: UpstreamTest.AFirstLineThatBreaksOffDeliversNothing fails without it at each cut behind the code, and passes with it; the 18 tests of UpstreamTest pass.

--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -30,11 +30,12 @@
 constexpr double kMostReported = 1e9;
 constexpr std::string_view kVersion = "HTTP/1.";
 
-// A status line with 200, also where nothing behind it can be read.
+// A whole status line with 200, also where nothing behind it can be read. One that breaks off after its code
+// proves no delivery: the host counts a message as delivered with that line's last byte.
 bool says_ok(std::string_view head) {
   constexpr std::string_view kOk = " 200";
   const size_t code = kVersion.size() + 1;
-  return head.starts_with(kVersion) && head.size() > code + kOk.size() &&
+  return head.starts_with(kVersion) && head.find('\n') != head.npos && head.size() > code + kOk.size() &&
          head.substr(code, kOk.size()) == kOk &&
          std::string_view(" \r\n").find(head[code + kOk.size()]) != std::string_view::npos;
 }
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -277,6 +277,25 @@
   }
 }
 
+// The host counts a message as delivered with the line's last byte: of one that breaks off the end is still
+// owed.
+TEST_F(UpstreamTest, AFirstLineThatBreaksOffDeliversNothing) {
+  const std::string line = "HTTP/1.1 200 OK\r\n";
+  for (size_t cut = 1; cut <= line.size(); ++cut) {
+    for (const bool left :
+         {false, true}) {  // the relay leaves a connection that stays open; or the host ends it
+      const AttemptEnded end = call([&](Host& host) {
+        host.next();
+        host.raw(line.substr(0, cut));
+        if (!left) return host.drop();
+        EXPECT_TRUE(host.left());
+      });
+      EXPECT_EQ(end.outcome, cut == line.size() ? Outcome::kOk : Outcome::kSpoilt) << line.substr(0, cut);
+      EXPECT_EQ(end.final, cut == line.size());
+    }
+  }
+}
+
 TEST_F(UpstreamTest, SkipsAnswersAheadOfTheAnswer) {
   const AttemptEnded end = call([](Host& host) {
     host.next();
