Clients: a lingering close is called so, apart from the drain of a relay

Need: drain() in relay/clients.cpp was the close that reads and throws away after its own end (a lingering close); the relay's drain is another thing in the same file.

Change: names only (linger, kLingering, kMostLinger, kMostDiscarded, kDiscardAtOnce, kLingerLeast, discarded_), no other change.

Measured: the file compiles; no behaviour to measure.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -24,15 +24,15 @@
 constexpr Time kLeastCommand = 3 * kSecond / 10;  // the first one gets what is left of the silence, but this
 constexpr Time kClientWaits = 2 * kSecond / 5;    // then it gives its request up
 constexpr Time kMostWrite = 2 * kSecond;          // for an answer that the client does not read
-constexpr Time kMostDrain = 5 * kSecond;  // after an error, so that a client still sending gets to read it
-constexpr size_t kMostDrained = 96 * 1024 * 1024;  // bytes, and so many bytes of it
-constexpr size_t kDrainAtOnce = 256 * 1024;
+constexpr Time kMostLinger = 5 * kSecond;  // after an error, so that a client still sending gets to read it
+constexpr size_t kMostDiscarded = 96 * 1024 * 1024;  // bytes, and so many bytes of it
+constexpr size_t kDiscardAtOnce = 256 * 1024;
 constexpr Time kServeOn = kSecond / 2;  // in a drain: the front hears of it, and new connections still come
 // For another connection to be let in, at the limit.
 constexpr Time kIdleLeast = 2 * kSecond;         // between requests
 constexpr Time kPressedLeast = kSecond / 20;     // the same, where every other was of use just now
 constexpr Time kSilentLeast = 3 * kSecond / 10;  // with nothing ever sent
-constexpr Time kDrainLeast = kSecond;
+constexpr Time kLingerLeast = kSecond;
 constexpr size_t kMostName = 128;                   // ids, keys, class and tenant names
 constexpr Time kMostLife = Time{24} * 3600 * 1000;  // milliseconds
 
@@ -168,7 +168,7 @@
     } else if ((state_ == State::kReading && !spoke_ && began_ == 0 && now - since_ >= kMostSilent &&
                 quiet()) ||
                (state_ == State::kWriting && now - since_ >= kMostWrite) ||
-               (state_ == State::kDraining && now - since_ >= kMostDrain)) {
+               (state_ == State::kLingering && now - since_ >= kMostLinger)) {
       close();
     }
   }
@@ -177,7 +177,7 @@
   // begun. `pressed`: nothing else is left that could go.
   Time spare(Time now, bool pressed) const {
     const Time age = now - since_;
-    if (state_ == State::kDraining) return age - kDrainLeast;
+    if (state_ == State::kLingering) return age - kLingerLeast;
     if (state_ != State::kReading || began_ != 0) return -1;
     return age - (!spoke_ ? kSilentLeast : pressed ? kPressedLeast : kIdleLeast);
   }
@@ -197,7 +197,7 @@
   }
 
  private:
-  enum class State { kReading, kServing, kWriting, kDraining, kClosed };
+  enum class State { kReading, kServing, kWriting, kLingering, kClosed };
 
   void readable(const boost::system::error_code& error) {
     if (owner_ == nullptr || state_ != State::kReading) return;
@@ -261,7 +261,7 @@
                                if (error) return self->close();
                                std::string().swap(self->out_);
                                self->since_ = steady_now();
-                               self->last_ ? self->drain() : self->proceed();
+                               self->last_ ? self->linger() : self->proceed();
                              });
   }
 
@@ -272,26 +272,26 @@
     answer(line);
   }
 
-  void drain() {
+  void linger() {
     boost::system::error_code ignored;
     socket_.cancel(ignored);
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     parser_ = RespParser();
-    state_ = State::kDraining;
-    drain_on();
+    state_ = State::kLingering;
+    linger_on();
   }
 
-  void drain_on() {
+  void linger_on() {
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](auto error) {
-      if (self->owner_ == nullptr || self->state_ != State::kDraining) return;
-      if (error == boost::asio::error::operation_aborted) return self->drain_on();
+      if (self->owner_ == nullptr || self->state_ != State::kLingering) return;
+      if (error == boost::asio::error::operation_aborted) return self->linger_on();
       if (error) return self->close();
       const ssize_t got =
-          ::recv(self->socket_.native_handle(), nullptr, kDrainAtOnce, MSG_TRUNC | MSG_DONTWAIT);
-      if (got > 0) self->drained_ += static_cast<size_t>(got);
+          ::recv(self->socket_.native_handle(), nullptr, kDiscardAtOnce, MSG_TRUNC | MSG_DONTWAIT);
+      if (got > 0) self->discarded_ += static_cast<size_t>(got);
       const bool empty = got < 0 && (errno == EAGAIN || errno == EINTR);
-      if ((got <= 0 && !empty) || self->drained_ > kMostDrained) return self->close();
-      self->drain_on();
+      if ((got <= 0 && !empty) || self->discarded_ > kMostDiscarded) return self->close();
+      self->linger_on();
     });
   }
 
@@ -300,10 +300,10 @@
   RespParser parser_;
   std::string out_;
   State state_ = State::kReading;
-  Time since_;      // when it connected, was last answered, or an answer or the draining began
+  Time since_;      // when it connected, was last answered, or an answer or the lingering began
   Time came_ = 0;   // when the newest byte came
   Time began_ = 0;  // when a command's first byte was read; 0: none has begun
-  size_t drained_ = 0;
+  size_t discarded_ = 0;
   bool spoke_ = false;
   bool last_ = false;
 };
