Shutdown: every client is answered or sees an end before the process goes

Lead of the stricter acceptance, confirmed by tests that run the loop by hand: (1) Clients::finish closed the listener over connections that were complete but not accepted: of three with a request in the queue all were reset; (2) between quiet() and close() in Session::readable bytes can come: the close is then a reset, which can take an answer with it; (3) Relay::wait_for_end asked for messages and notices only: io_.stop() came in the very turn in which finish() had cancelled the reads, over requests that were there.

Ruled out: a message taken on late in the drain without its record: answer_pending writes the record before +OK, and a restart resumes it.

SIGTERM is a line in the log.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -24,7 +24,8 @@
 constexpr Time kLeastCommand = 3 * kSecond / 10;  // the first one gets what is left of the silence, but this
 constexpr Time kClientWaits = 2 * kSecond / 5;    // then it gives its request up
 constexpr Time kMostWrite = 2 * kSecond;          // for an answer that the client does not read
-constexpr Time kMostLinger = 5 * kSecond;  // after an error, so that a client still sending gets to read it
+constexpr Time kMostLinger = 5 * kSecond;    // after an error, so that a client still sending gets to read it
+constexpr Time kMostRest = 3 * kSecond / 2;  // after an end between requests, for the client's own
 constexpr size_t kMostDiscarded = 96 * 1024 * 1024;  // bytes, and so many bytes of it
 constexpr size_t kDiscardAtOnce = 256 * 1024;
 constexpr Time kServeOn = kSecond / 2;  // in a drain: the front hears of it, and new connections still come
@@ -148,9 +149,11 @@
   // What was answered is between requests; what never spoke may be a client that comes just now.
   bool spoke() const { return spoke_; }
 
-  // Wakes a pending read, which then decides: bytes that came in the meantime are a request to be served.
+  // Wakes a pending read, which then decides: bytes that came in the meantime are a request to be served. One
+  // that has just connected has its request still on the way: the next sweep looks again.
   void finish() {
     boost::system::error_code ignored;
+    if (!spoke_ && steady_now() - since_ < kSilentLeast) return;
     if (state_ == State::kReading && parser_.empty()) socket_.cancel(ignored);
   }
 
@@ -163,12 +166,14 @@
   // Ends what takes too long. Not by the time since the last byte: dribbled ones would put it off for ever.
   void check(Time now) {
     const Time began = state_ == State::kReading && began_ != 0 ? now - began_ : 0;
+    const Time most_linger = last_ ? kMostLinger : kMostRest;
     if (began >= kMostCommand || (!spoke_ && began >= kLeastCommand && now - since_ >= kMostSilent)) {
       refuse("-ERR the command took too long");
-    } else if ((state_ == State::kReading && !spoke_ && began_ == 0 && now - since_ >= kMostSilent &&
-                quiet()) ||
-               (state_ == State::kWriting && now - since_ >= kMostWrite) ||
-               (state_ == State::kLingering && now - since_ >= kMostLinger)) {
+    } else if (state_ == State::kReading && !spoke_ && began_ == 0 && now - since_ >= kMostSilent &&
+               quiet()) {
+      linger();
+    } else if ((state_ == State::kWriting && now - since_ >= kMostWrite) ||
+               (state_ == State::kLingering && now - since_ >= most_linger)) {
       close();
     }
   }
@@ -201,7 +206,8 @@
 
   void readable(const boost::system::error_code& error) {
     if (owner_ == nullptr || state_ != State::kReading) return;
-    if (error && (error != boost::asio::error::operation_aborted || quiet())) return close();
+    if (error && error != boost::asio::error::operation_aborted) return close();
+    if (error && quiet()) return linger();
     boost::system::error_code failed;
     const size_t count = socket_.read_some(boost::asio::buffer(owner_->bytes_), failed);
     if (failed == boost::asio::error::would_block) return proceed();
@@ -265,18 +271,21 @@
                              });
   }
 
-  // What follows cannot be read any more. A close with bytes unread would be a reset, which may overtake the
-  // error: the sending side ends, and what still comes is thrown away for a while.
+  // What follows cannot be read any more.
   void refuse(const std::string& line) {
     last_ = true;
     answer(line);
   }
 
+  // A close with bytes unread would be a reset, which may overtake the last answer, and they may come at any
+  // moment: the sending side ends, and what still comes is thrown away until the client ends too, or for a
+  // while. No request is taken after the end: its client hands it in again elsewhere.
   void linger() {
     boost::system::error_code ignored;
     socket_.cancel(ignored);
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     parser_ = RespParser();
+    since_ = steady_now();
     state_ = State::kLingering;
     linger_on();
   }
@@ -395,7 +404,7 @@
   for (auto next = sessions_.begin(); next != sessions_.end();) {
     const auto session = *next++;
     session->check(now);
-    if (session->spoke() && leaving()) session->finish();
+    if (finishing_ || (session->spoke() && leaving())) session->finish();
   }
   accept();
   sweeper_.expires_after(kSweep);
@@ -415,7 +424,20 @@
 
 bool Clients::leaving() const { return draining_since_ != 0 && steady_now() - draining_since_ >= kServeOn; }
 
+// Connections that are there already, with a request or not, would be reset with the listener.
+void Clients::accept_rest() {
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error && sessions_.size() < most_) {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (!error) add(std::move(socket))->proceed();
+  }
+}
+
 void Clients::finish() {
+  if (finishing_) return;
+  if (!give_ && acceptor_.is_open()) accept_rest();  // else the other process has the listener
   finishing_ = true;
   boost::system::error_code ignored;
   acceptor_.close(ignored);
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -31,8 +31,11 @@
 
   tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
-  // Takes no new connection and closes those that are open, each only between requests.
+  // Takes no new connection but those that are there, and ends all that are open, each only between requests.
   void finish();
+  bool ended() const {
+    return finishing_ && sessions_.empty();
+  }  // and the clients have ended theirs, or had time
 
   // Says no to PING, and a little later closes connections between requests, while it still listens.
   void drain();
@@ -50,6 +53,7 @@
   bool leaving() const;  // connections go once they have been answered
 
   void accept();
+  void accept_rest();
   std::shared_ptr<Session> add(tcp::socket socket);
   bool make_room();
   void sweep();
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -879,6 +879,7 @@
 void Relay::stop() {
   if (stopping_since_ != 0) return;
   stopping_since_ = steady_now();
+  net::log::info("stopping", "held", held_.size(), "handed_over", handed_over_ ? 1 : 0);
   if (handed_over_) return;  // it ends as soon as it can
   happened(Closing{stopping_since_ + kLastCall});
   wait_for_end();
@@ -893,7 +894,7 @@
     closed_ = true;
     if (clients_) clients_->finish();
   }
-  const bool idle = !handed_over_ && held_.empty() && notices_.empty();
+  const bool idle = !handed_over_ && held_.empty() && notices_.empty() && (!clients_ || clients_->ended());
   if (age >= kLastCall || (closed_ && idle)) return io_.stop();
   stop_timer_.expires_after(std::chrono::microseconds(kStopPoll));
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
--- /dev/null
+++ b/tests/shutdown_test.cpp
@@ -0,0 +1,165 @@
+// The end of the process: what clients have sent, or send just then, against what is closed. The test runs
+// the loop itself, so that it decides what has come before the relay looks.
+#include <sys/socket.h>
+
+#include <boost/asio/io_context.hpp>
+#include <cerrno>
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <functional>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "../relay/relay.h"  // tests have a relay.h of their own
+#include "clients.h"
+#include "config.h"
+#include "peers.h"
+
+namespace firspool::testing {
+namespace {
+
+const std::string kPing = "*1\r\n$4\r\nPING\r\n";
+const std::string kPut = put_bytes("a1", "c=keyed,d=60000,k=5c0f6e1a2b3d4c59,dest=7");
+
+class Shutdown : public ::testing::Test {
+ protected:
+  Socket client() const { return Socket::connect(clients_.address().port()); }
+
+  void run_until(const std::function<bool()>& there) {
+    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(kDeadlineMs);
+    while (!there()) {
+      ASSERT_LT(std::chrono::steady_clock::now(), until);
+      io_.restart();
+      io_.run_one_for(std::chrono::milliseconds(20));
+    }
+  }
+
+  // What the client finds: 'b' bytes, 'e' an end, 'r' a reset, '-' nothing yet.
+  static char found(const Socket& client) {
+    char byte = 0;
+    const ssize_t got = ::recv(client.fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0) return 'b';
+    if (got == 0) return 'e';
+    return errno == EAGAIN ? '-' : 'r';
+  }
+
+  void expect_answer(Socket& client, const std::string& line) {
+    run_until([&] { return found(client) != '-'; });
+    ASSERT_EQ(found(client), 'b') << "no answer, but its end";
+    EXPECT_EQ(client.line(), line);
+  }
+
+  void expect_end(Socket& client) {
+    run_until([&] { return found(client) != '-'; });
+    EXPECT_EQ(found(client), 'e');
+  }
+
+  boost::asio::io_context io_;
+  int puts_ = 0;
+  relay::Clients clients_{io_,
+                          {boost::asio::ip::address_v4::loopback(), 0},
+                          16,
+                          [this](const relay::Handed&, const relay::Clients::Answer& answer) {
+                            ++puts_;
+                            answer("+OK");
+                          }};
+};
+
+// Three, as one may have been accepted already by the time that the listener closes.
+TEST_F(Shutdown, ConnectionsThatWaitToBeAcceptedAreAnswered) {
+  std::vector<Socket> waiting;
+  for (int i = 0; i < 3; ++i) {
+    waiting.push_back(client());
+    ASSERT_TRUE(waiting.back().send(kPut));
+  }
+  clients_.finish();
+  for (Socket& each : waiting) {
+    expect_answer(each, "+OK");
+    expect_end(each);
+    each.close();
+  }
+  run_until([&] { return clients_.ended(); });
+  EXPECT_EQ(puts_, 3);
+}
+
+// The client's request is on its way while the relay ends the connection: it must see an end, not a reset,
+// which could take an answer with it; and the request is not taken on, as the client sends it once more.
+TEST_F(Shutdown, ARequestThatCrossesTheEndIsNeitherTakenOnNorReset) {
+  Socket resting = client();
+  ASSERT_TRUE(resting.send(kPing));
+  expect_answer(resting, "+PONG");
+  clients_.finish();
+  expect_end(resting);
+  ASSERT_TRUE(resting.send(kPut));
+  for (int i = 0; i < 3; ++i) io_.poll();
+  EXPECT_FALSE(clients_.ended());  // the process waits for the client's own end
+  EXPECT_EQ(found(resting), 'e');
+  ASSERT_EQ(::shutdown(resting.fd(), SHUT_WR), 0);
+  run_until([&] { return clients_.ended(); });
+  EXPECT_EQ(found(resting), 'e');
+  EXPECT_EQ(puts_, 0);
+}
+
+TEST_F(Shutdown, WhatHadComeBeforeTheEndIsAnsweredWhole) {
+  Socket resting = client();
+  ASSERT_TRUE(resting.send(kPing));
+  expect_answer(resting, "+PONG");
+  ASSERT_TRUE(resting.send(kPut + kPing + kPut.substr(0, 20)));  // two, and a part of a third
+  clients_.finish();
+  expect_answer(resting, "+OK");
+  expect_answer(resting, "+PONG");
+  ASSERT_TRUE(resting.send(kPut.substr(20)));
+  expect_answer(resting, "+OK");
+  expect_end(resting);
+  EXPECT_EQ(puts_, 2);
+}
+
+// One that rests for ever does not hold the process.
+TEST_F(Shutdown, AClientThatNeverEndsIsLeftBehind) {
+  Socket resting = client();
+  ASSERT_TRUE(resting.send(kPing));
+  expect_answer(resting, "+PONG");
+  clients_.finish();
+  run_until([&] { return clients_.ended(); });
+  EXPECT_EQ(found(resting), 'e');
+}
+
+// The whole relay: it stood still while its time to close came, and requests with it. It ends in the turn in
+// which nothing is open any more, not before the last of them has its answer.
+TEST(ShutdownOfTheRelay, EndsOnlyWhenEachClientHasItsAnswer) {
+  char folder[] = "/tmp/turntally-XXXXXX";
+  ASSERT_NE(::mkdtemp(folder), nullptr);
+  Discovery discovery;
+  Host host;
+  const auto config = config_json(discovery.address(), {member_json("s-1", host.address(), 7)});
+  {
+    boost::asio::io_context io;
+    std::optional<uint16_t> port;
+    relay::Relay relay(io, relay::parse_config(config.dump(), folder),
+                       [&](const relay::tcp::endpoint& address) { port = address.port(); });
+    while (!port) io.run_one();
+    relay.stop();
+    std::vector<Socket> late;
+    for (int i = 0; i < 3; ++i) {
+      late.push_back(Socket::connect(*port));
+      ASSERT_TRUE(late.back().send(kPing));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));  // the loop stands still: it closes at 0.5 s
+    std::thread clients([&] {
+      for (Socket& each : late) {
+        EXPECT_EQ(each.line(), "+PONG");
+        EXPECT_TRUE(each.ended());
+        each.close();
+      }
+    });
+    io.run();  // until it has ended by itself
+    clients.join();
+  }
+  std::filesystem::remove_all(folder);
+}
+
+}  // namespace
+}  // namespace firspool::testing
