Clients: a class or tenant may be named with spaces and other letters

Cause: parse_put asked of class and tenant what it asks of ids and idempotency keys, printable ASCII without spaces (is_name): those become header lines.

Measured: Customers.NameClassesAndTenantsAsTheyLike fails without the change (seen).

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -43,6 +43,13 @@
          std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isgraph(c) != 0; });
 }
 
+// Names of classes and tenants are the settings' own: any letters, and spaces. They never become header
+// lines.
+bool is_title(std::string_view text) {
+  return !text.empty() && text.size() <= kMostName &&
+         std::none_of(text.begin(), text.end(), [](unsigned char c) { return std::iscntrl(c) != 0; });
+}
+
 int64_t number(std::string_view text, int64_t most) {
   int64_t value = -1;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -80,8 +87,8 @@
     if (name == "d") out.life = 1000 * number(value, kMostLife);
     if (name == "dest") out.destination = static_cast<int>(number(value, 1'000'000));
   }
-  if (!is_name(out.message_class)) throw std::invalid_argument("unreadable class");
-  if (!out.tenant.empty() && !is_name(out.tenant)) throw std::invalid_argument("unreadable tenant");
+  if (!is_title(out.message_class)) throw std::invalid_argument("unreadable class");
+  if (!out.tenant.empty() && !is_title(out.tenant)) throw std::invalid_argument("unreadable tenant");
   if (!out.key.empty() && !is_name(out.key)) throw std::invalid_argument("unreadable idempotency key");
   if (out.life < 0) throw std::invalid_argument("no d");
   if (out.destination < 0) throw std::invalid_argument("no dest");
--- /dev/null
+++ b/tests/customers_test.cpp
@@ -0,0 +1,36 @@
+// What another customer's settings may hold that those of the first do not.
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "peers.h"
+
+namespace firspool::testing {
+namespace {
+
+struct Customer {
+  Host host;
+  Discovery discovery;
+  nlohmann::json config = config_json(discovery.address(), {member_json("s-1", host.address(), 7)});
+};
+
+TEST(Customers, NameClassesAndTenantsAsTheyLike) {
+  Customer c;
+  c.config["settings"]["categories"][0]["name"] = "Z\u00e4hler ablesen";
+  c.config["settings"]["realms"] = {{{"name", "M\u00fcller & Co"}, {"quota_per_s", 10.0}}};
+  Program program(c.config);
+  program.log_at("debug");
+  program.start();
+  Socket client = program.client();
+  client.send(put_bytes("a1", "c=Z\u00e4hler ablesen,t=M\u00fcller & Co,d=60000,dest=7"));
+  EXPECT_EQ(client.line(), "+OK");
+  EXPECT_EQ(c.host.next().headers.at("x-call-id"), "a1");
+  c.host.answer("200");
+  EXPECT_TRUE(program.logged("end id=a1"));
+  client.send(put_bytes("a2", "c=Z\u00e4hler\nablesen,d=60000,dest=7"));
+  EXPECT_EQ(client.line(), "-ERR unreadable class");
+}
+
+}  // namespace
+}  // namespace firspool::testing
