Cold budget: what each relay may do alone is too much for a crowd of them

Seen: as many modules as relays, a destination that goes out for 8 or 18 s and returns cold (ColdBudget, 2 to 300 relays, N 1 to 30, refusing, failing, shut, hanging, silent). Cause: three constants hold for a relay, not for the fleet. - scout_rate: 1.5 scouts a second, or half the rate before, is up to twice the first budget. - assess: an outage takes three failed calls. A silent destination costs one second and more for each, so each of 300 relays repeats unpaced for 3 to 5 s, and all are there at the return. - narrow: after a refusal with nothing told each goes on at 0.2 calls a second, 60 from 300. Ruled out: tokens saved up in the pacers (drawn at random, and a scout needs a whole one), bundles (variant 3), uneven traffic, relays restarted at the return. Change: crowd() asks whether one call of each relay is beyond the budget with its chance. Only then scouts are a part of the budget, one unanswered call begins an outage, and a refusal narrows the pace to the own demand.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -202,6 +202,7 @@
   bool bound = false;      // a message waited for the pace since the last served call
   int streak = 0;          // calls in a row that were not served
   int hard = 0;            // of these, failures rather than refusals
+  bool slow = false;       // one of them took long
   Time streak_since = 0;   // when the first of them was sent
   Time out_since = 0;      // 0: no outage
   bool suspected = false;  // the outage rests on overdue calls alone
@@ -640,6 +641,7 @@
   void served(const Attempt& attempt, Lane& l) {
     l.last_served_sent = std::max(l.last_served_sent, attempt.sent);
     l.streak = l.hard = 0;
+    l.slow = false;
     l.probe_ok = false;
     l.pace = std::max(l.pace, l.paced);
     if (l.bound) l.pace += kLimitGain * l.pace;
@@ -663,6 +665,7 @@
     if (l.streak++ == 0) l.streak_since = attempt.sent;
     if (hard) {
       ++l.hard;
+      l.slow = l.slow || now_ - attempt.sent >= kDeadSpan;
       l.suspected = false;
     }
     // Failures after the return start the ramp again; answers to calls from before it tell nothing new.
@@ -724,8 +727,11 @@
       const Time span = now_ - l.streak_since;
       const bool dead = l.streak >= kDeadStreak && l.hard >= 2 && span >= kDeadSpan;
       const bool shut = l.streak >= kShutStreak && span >= kShutSpan;
+      const bool lone = l.slow && crowd(pooled_rate(l));
       if (dead || shut) {
         go_out(l, dead ? "calls fail" : "all refused", false);
+      } else if (lone) {
+        go_out(l, "a call got no answer", false);
       } else if (const auto late = overdue.find(&l); late != overdue.end() && late->second >= kOverdue) {
         go_out(l, "calls overdue", true);
       }
@@ -802,7 +808,9 @@
   void narrow(const Attempt& attempt, Lane& l) {
     if (attempt.sent < l.cut_at) return;
     const bool fresh = l.pace == 0 || l.streak == 0;
-    if (l.pace == 0) l.pace = std::max(1.5 * pooled_rate(l), kFirstPace);
+    const double own = pooled_rate(l);
+    const bool shut = l.wait_until <= now_ && crowd(own);  // it may be, and all of them would ask on
+    if (l.pace == 0) l.pace = std::max(1.5 * own, shut ? 0 : kFirstPace);
     if (fresh && l.limit > 0) l.pace = std::min(l.pace, share(l));
     l.pace = std::max((fresh ? kLimitCut : kAgainCut) * l.pace, 1 / seconds(longest_));
     if (fresh) l.paced = l.pace;
@@ -827,6 +835,14 @@
     }
   }
 
+  // Whether one call of each relay is more than the lane takes when it comes back, chance included: too many
+  // for each to look for itself, and to go on until its own third call fails.
+  bool crowd(double base) const {
+    const double first = set_.fall_multiple * set_.start_capacity * seconds(set_.fall_window);
+    const double budget = first * base * set_.relays;
+    return set_.relays > budget + 2 * std::sqrt(budget) + 2;
+  }
+
   // Share of the relays that were handed a message for the lane in the outage, and so know of it.
   double knowing(const Lane& l) const {
     const Time end = l.back_since == 0 ? now_ : l.back_since;
@@ -860,9 +876,13 @@
            know;
   }
 
-  // Own part of the fleet's scouts. The relays that hold messages for the lane share them.
+  // Own part of the fleet's scouts. The relays that hold messages for the lane share them. What a crowd finds
+  // up is cold: its scouts are a part of the first budget.
   double scout_rate(const Lane& l) const {
-    return std::max(kScoutPart * l.base, kScoutLeast / set_.relays) / knowing(l);
+    const bool many = crowd(l.base);
+    const double part = many ? kColdMargin * set_.fall_multiple * set_.start_capacity : kScoutPart;
+    const double least = many ? 1 / std::max(1.0, seconds(set_.fall_window)) : kScoutLeast;
+    return std::max(part * l.base, least / set_.relays) / knowing(l);
   }
 
   // When this lane may be sent to; kNever: only after some outcome.
--- /dev/null
+++ b/tests/cold_budget_test.cpp
@@ -0,0 +1,307 @@
+// What a fleet of relays sends to a destination that comes back cold, against the rule's budget.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <limits>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include "relay.h"
+
+namespace firspool::testing {
+namespace {
+
+constexpr double kStart = 0.29;  // share of the capacity that the destination returns with
+constexpr double kSpare = 1.15;  // its capacity, in parts of the load
+constexpr double kMultiple = 1.5;
+constexpr Time kWindow = 2 * kSecond;
+
+enum class Way { kRefuses, kFails, kShut, kHangs, kSilent };
+
+struct Plan {
+  int relays = 30;
+  double rate = 10;  // messages a second, of all relays together
+  double skew = 0;   // a relay's part falls with this power of its number
+  Way way = Way::kRefuses;
+  Time out_for = 8 * kSecond;
+  bool limit_told = true;
+  int batch = 1;
+  double restarted = 0;  // share of the relays that are killed at the return, or a little later
+  bool drained = false;  // the list says so while it is out, and lists it again at its return
+};
+
+// Of all windows in which two thirds of the calls came from relays that had been told of the outage: how far
+// the worst is over the budget, in parts of (root N + 1). Chance is given 2, the page 3.
+using Excess = double;
+
+double seconds(Time t) { return static_cast<double>(t) * 1e-6; }
+
+class World {
+ public:
+  World(const Plan& plan, uint64_t seed) : plan_(plan), random_(seed) {
+    settings_ = plain_settings();
+    settings_.classes.resize(1);
+    settings_.kinds.resize(1);
+    settings_.kinds[0].batch = plan.batch;
+    settings_.relays = plan.relays;
+    settings_.slots = 20;
+    settings_.cold = 12 * kSecond;
+    settings_.fall_window = kWindow;
+    settings_.fall_multiple = kMultiple;
+    settings_.start_capacity = kStart;
+    settings_.connect_timeout = kSecond;
+    settings_.weights = plan.limit_told ? Weights::kNominal : Weights::kNone;
+    capacity_ = kSpare * plan.rate;
+    back_ = kOut + plan.out_for;
+    double sum = 0;
+    for (int i = 0; i < plan.relays; ++i) sum += parts_.emplace_back(std::pow(1 + i, -plan.skew));
+    for (double& part : parts_) part /= sum;
+    std::shuffle(parts_.begin(), parts_.end(), random_);
+    for (int i = 0; i < plan.relays; ++i) start(0, i);
+    for (int i = 0; i < plan.relays; ++i) {
+      next_message(0, i);
+      if (std::uniform_real_distribution<>(0, 1)(random_) < plan.restarted) {
+        relays_[i].killed_at = back_ + std::uniform_int_distribution<Time>(-kSecond, 3 * kSecond)(random_);
+        queue_.emplace(relays_[i].killed_at, i);
+      }
+    }
+    if (plan.drained) {
+      for (int i = 0; i < plan.relays; ++i) {
+        post(kOut + 20'000, i, list(Listing::kDraining));
+        post(back_, i, list(Listing::kReady));
+      }
+    }
+  }
+
+  Excess run() {
+    const Time end = back_ + settings_.cold;
+    while (!queue_.empty() && queue_.begin()->first < end) {
+      const auto [now, relay] = *queue_.begin();
+      queue_.erase(queue_.begin());
+      turn(now, relay);
+    }
+    return judge();
+  }
+
+ private:
+  static constexpr Time kOut = 20 * kSecond;
+  static constexpr Time kNever = std::numeric_limits<Time>::max();
+  struct OneRelay {
+    std::unique_ptr<Policy> policy;
+    std::multimap<Time, Event> events;
+    std::map<int, DestinationMemory> memory;
+    std::map<uint64_t, int> attempts;
+    Time wake = 0;
+    Time next = 0;  // message
+    Time killed_at = kNever;
+    bool told = false;  // that a call or probe failed in the outage
+  };
+  struct Arrived {
+    Time at;
+    double work;
+    bool told;
+  };
+
+  MembersChanged list(Listing listing) const {
+    Member m = member(1, 1, 0, listing);
+    if (plan_.limit_told) m.weight = plan_.rate;
+    return members({m});
+  }
+
+  void start(Time now, int i) {
+    OneRelay& relay = relays_[i];
+    relay.policy = std::make_unique<Policy>(settings_of(i), random_());
+    relay.events.clear();
+    relay.attempts.clear();
+    post(now, i, list(Listing::kReady));
+    for (const auto& [destination, memory] : relay.memory) post(now, i, memory);
+  }
+
+  Settings settings_of(int i) const {
+    Settings out = settings_;
+    out.self = i;
+    return out;
+  }
+
+  void post(Time at, int i, Event event) {
+    relays_[i].events.emplace(at, std::move(event));
+    queue_.emplace(at, i);
+  }
+
+  void next_message(Time now, int i) {
+    std::exponential_distribution<> gap(plan_.rate * parts_[i]);
+    relays_[i].next = now + static_cast<Time>(gap(random_) * 1e6) + 1;
+    queue_.emplace(relays_[i].next, i);
+  }
+
+  bool out(Time at) const { return at >= kOut && at < back_; }
+
+  void turn(Time now, int i) {
+    OneRelay& relay = relays_[i];
+    std::vector<Event> events;
+    if (relay.killed_at <= now) {
+      relay.killed_at = kNever;
+      start(now, i);
+    }
+    while (!relay.events.empty() && relay.events.begin()->first <= now) {
+      events.push_back(std::move(relay.events.begin()->second));
+      relay.events.erase(relay.events.begin());
+    }
+    if (relay.next <= now) {
+      Arrival in;
+      in.id = ++last_id_;
+      in.destination = 1;
+      in.due = now + settings_.classes[0].give_up;
+      events.push_back(in);
+      next_message(now, i);
+    }
+    if (events.empty() && relay.wake > now) return;
+    relay.wake = 0;
+    std::vector<Action> actions;
+    const bool told = relay.told;
+    relay.policy->step(now, events, actions);
+    for (const Event& event : events) learn(now, relay, event);
+    int joined = 0;
+    for (const Action& action : actions) {
+      if (const auto* send = std::get_if<Send>(&action)) {
+        sent(now, i, *send, told, joined++ % std::max(1, plan_.batch) == 0);
+      } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
+        relay.wake = timer->at;
+        queue_.emplace(timer->at, i);
+      } else if (const auto* remember = std::get_if<Remember>(&action)) {
+        relay.memory[remember->memory.destination] = remember->memory;
+      }
+    }
+  }
+
+  // What it is told in this batch weighs from the next on.
+  void learn(Time now, OneRelay& relay, const Event& event) {
+    if (now >= back_ + kSecond / 10 || now < kOut) return;
+    const auto* end = std::get_if<AttemptEnded>(&event);
+    if (end != nullptr && end->outcome != Outcome::kOk && end->outcome != Outcome::kMoot) relay.told = true;
+  }
+
+  void arrived(Time at, double work, bool told) {
+    if (at >= back_) calls_.push_back({at, work, told});
+  }
+
+  void sent(Time now, int i, const Send& send, bool told, bool first) {
+    OneRelay& relay = relays_[i];
+    arrived(now, first ? 1 : 0.1, told);
+    AttemptEnded end = ended(send, relay.attempts[send.id]++, Outcome::kOk);
+    if (out(now)) {
+      end.final = false;
+      switch (plan_.way) {
+        case Way::kRefuses:
+          end.outcome = Outcome::kConnectFailed;
+          end.took = 1000;
+          break;
+        case Way::kFails:
+          end.outcome = Outcome::kError;
+          end.took = 30'000;
+          break;
+        case Way::kShut:
+          end.outcome = Outcome::kFull;
+          end.took = 10'000;
+          break;
+        case Way::kHangs:
+          end.outcome = Outcome::kTimeout;
+          end.took = send.timeout;
+          break;
+        case Way::kSilent:
+          end.outcome = Outcome::kConnectFailed;
+          end.took = std::min(send.timeout, settings_.connect_timeout);
+          break;
+      }
+    }
+    post(now + end.took, i, end);
+  }
+
+  Excess judge() {
+    std::sort(calls_.begin(), calls_.end(), [](const Arrived& a, const Arrived& b) { return a.at < b.at; });
+    Excess worst = -1e9;
+    double work = 0;
+    double told = 0;
+    std::deque<Arrived> window;
+    for (const Arrived& call : calls_) {
+      window.push_back(call);
+      work += call.work;
+      told += call.told ? call.work : 0;
+      while (window.front().at <= call.at - settings_.fall_window) {
+        work -= window.front().work;
+        told -= window.front().told ? window.front().work : 0;
+        window.pop_front();
+      }
+      const double warm = static_cast<double>(call.at - back_) / static_cast<double>(settings_.cold);
+      const double share = settings_.start_capacity + (1 - settings_.start_capacity) * std::min(1.0, warm);
+      const double n = settings_.fall_multiple * capacity_ * share * seconds(settings_.fall_window);
+      if (told >= work * 2 / 3) worst = std::max(worst, (work - n) / (std::sqrt(n) + 1));
+    }
+    return worst;
+  }
+
+  Plan plan_;
+  std::mt19937_64 random_;
+  Settings settings_;
+  double capacity_ = 0;
+  Time back_ = 0;
+  std::vector<double> parts_;
+  std::map<int, OneRelay> relays_;
+  std::set<std::pair<Time, int>> queue_;
+  uint64_t last_id_ = 0;
+  std::vector<Arrived> calls_;
+};
+
+struct Fleet {
+  int relays;
+  int seeds;
+};
+
+class ColdBudget : public ::testing::TestWithParam<Fleet> {};
+
+// Most plays keep the budget and its chance. Where relays learn of an outage in its last moments one in
+// fifty may go beyond, but none beyond what the platform puts down to chance.
+TEST_P(ColdBudget, IsKeptByAllRelaysTogether) {
+  int plays = 0;
+  std::string beyond;
+  int count = 0;
+  for (const double n : {1, 3, 5, 30}) {
+    for (const Way way : {Way::kRefuses, Way::kFails, Way::kShut, Way::kHangs, Way::kSilent}) {
+      for (int variant = 0; variant < 8; ++variant) {
+        Plan p;
+        p.relays = GetParam().relays;
+        p.rate = n / (kMultiple * seconds(kWindow) * kStart * kSpare);
+        p.skew = variant % 2;
+        p.way = way;
+        p.limit_told = variant > 1;
+        p.restarted = variant == 2 ? 0.5 : 0;
+        p.batch = variant == 3 ? 20 : 1;
+        if (variant == 6) p.out_for = 18 * kSecond;
+        for (int i = 0; i < GetParam().seeds; ++i) {
+          const uint64_t seed = 1000 * static_cast<uint64_t>(variant) + static_cast<uint64_t>(i) + 1;
+          const Excess worst = World(p, seed).run();
+          const std::string name = "N " + std::to_string(n) + ", way " +
+                                   std::to_string(static_cast<int>(way)) + ", variant " +
+                                   std::to_string(variant) + ", seed " + std::to_string(seed);
+          EXPECT_LE(worst, 3) << name;
+          ++plays;
+          if (worst <= 2) continue;
+          ++count;
+          beyond += name + "\n";
+        }
+      }
+    }
+  }
+  EXPECT_LE(count, plays / 50) << beyond;
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, ColdBudget,
+                         ::testing::Values(Fleet{2, 3}, Fleet{3, 3}, Fleet{30, 3}, Fleet{300, 2}),
+                         [](const auto& fleet) { return std::to_string(fleet.param.relays); });
+
+}  // namespace
+}  // namespace firspool::testing
