Cold budget: a destination that failed and left the list returns cold

Seen: ColdBudget with a destination that breaks and is listed as leaving 20 ms later. Two relays, N 30: 8 of 480 plays beyond the budget by up to 33 (root N + 1), all from relays that had been told. Cause: Policy::assess knew of an outage only by three failed calls; where the list stops the second one, what is held goes at once when the destination is listed again. And served() ended the row of failures on the answer to a call that was sent before the first of them: such a call may have run before the destination broke. Ruled out: a drain without a failed call. The rule names outages, and a drain is none. Change: calls failed and nothing of it is listed is an outage. A served call ends a row only if it was sent after its first call.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -640,8 +640,10 @@
 
   void served(const Attempt& attempt, Lane& l) {
     l.last_served_sent = std::max(l.last_served_sent, attempt.sent);
-    l.streak = l.hard = 0;
-    l.slow = false;
+    if (attempt.sent >= l.streak_since) {  // else it may have run before the first of them failed
+      l.streak = l.hard = 0;
+      l.slow = false;
+    }
     l.probe_ok = false;
     l.pace = std::max(l.pace, l.paced);
     if (l.bound) l.pace += kLimitGain * l.pace;
@@ -728,10 +730,11 @@
       const bool dead = l.streak >= kDeadStreak && l.hard >= 2 && span >= kDeadSpan;
       const bool shut = l.streak >= kShutStreak && span >= kShutSpan;
       const bool lone = l.slow && crowd(pooled_rate(l));
+      const bool left = l.streak > 0 && !listed(l);
       if (dead || shut) {
         go_out(l, dead ? "calls fail" : "all refused", false);
-      } else if (lone) {
-        go_out(l, "a call got no answer", false);
+      } else if (lone || left) {
+        go_out(l, lone ? "a call got no answer" : "failed and left the list", false);
       } else if (const auto late = overdue.find(&l); late != overdue.end() && late->second >= kOverdue) {
         go_out(l, "calls overdue", true);
       }
@@ -843,6 +846,12 @@
     return set_.relays > budget + 2 * std::sqrt(budget) + 2;
   }
 
+  bool listed(const Lane& l) const {
+    const auto& hosts = by_destination_.at(l.key.first);
+    return std::any_of(hosts.begin(), hosts.end(),
+                       [&l](const auto& entry) { return entry.second->ready && entry.second->lane == &l; });
+  }
+
   // Share of the relays that were handed a message for the lane in the outage, and so know of it.
   double knowing(const Lane& l) const {
     const Time end = l.back_since == 0 ? now_ : l.back_since;
--- a/tests/cold_budget_test.cpp
+++ b/tests/cold_budget_test.cpp
@@ -280,6 +280,7 @@
         p.limit_told = variant > 1;
         p.restarted = variant == 2 ? 0.5 : 0;
         p.batch = variant == 3 ? 20 : 1;
+        p.drained = variant == 4 || variant == 5;
         if (variant == 6) p.out_for = 18 * kSecond;
         for (int i = 0; i < GetParam().seeds; ++i) {
           const uint64_t seed = 1000 * static_cast<uint64_t>(variant) + static_cast<uint64_t>(i) + 1;
@@ -299,6 +300,22 @@
   EXPECT_LE(count, plays / 50) << beyond;
 }
 
+// The answer to a call from before the failure says nothing of the time after it: what is held while nothing
+// is listed does not go at once when the destination is back.
+TEST(FailedAndUnlisted, AnOlderCallThatIsServedEndsNoRow) {
+  Relay relay(plain_settings());
+  const auto older = all_of<Send>(relay.step(0, {members({member(1)}), relay.message(1, 0)}));
+  const auto newer = all_of<Send>(relay.step(50'000, {relay.message(2, 50'000)}));
+  ASSERT_EQ(older.size() + newer.size(), 2u);
+  relay.step(60'000, {ended(newer[0], 0, Outcome::kConnectFailed)});
+  relay.step(100'000, {ended(older[0], 0, Outcome::kOk)});
+  std::vector<Event> events = {members({member(1, 1, 0, Listing::kDraining)}, MembersChanged::Form::kDelta)};
+  for (uint64_t id = 3; id <= 8; ++id) events.push_back(relay.message(id, 110'000));
+  EXPECT_TRUE(all_of<Send>(relay.step(110'000, events)).empty());
+  relay.idle(120'000, 3 * kSecond);
+  EXPECT_LE(all_of<Send>(relay.step(4 * kSecond, {members({member(1)})})).size(), 1u);
+}
+
 INSTANTIATE_TEST_SUITE_P(Fleets, ColdBudget,
                          ::testing::Values(Fleet{2, 3}, Fleet{3, 3}, Fleet{30, 3}, Fleet{300, 2}),
                          [](const auto& fleet) { return std::to_string(fleet.param.relays); });
