Repeats: none is sent that may not start any more

Seen: a keyed class with a window of 1 s (Window.NoRepeatIsSentThatMayNotStart, first failure at 715 ms; GoesOnOverARestart at an age of 960 ms): in the last 50 ms of the window the module sent repeats whose start_by had passed. The relay takes each back as moot, and the module sends the next one at once, up to the last attempt: a connection, a token and an attempt each, and a message that was owed its failure was given it when the attempts were gone. Cause: window_end() for giving up and start_by for the relay differed by kWindowMargin. Ruled out, each by a test of this file: a failed connection that came after 1.5 s starts no window; it runs from the first attempt that may have run, also over a restart; an untried message that is resumed has none. The module's time of sending is before the first byte, so the window ends early rather than late where a connection takes long. Change: one last moment for both. Measured: the two tests fail without it; firspool_tests pass.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -974,7 +974,10 @@
     return any;
   }
 
-  Time window_end(const Message& m) const { return m.ran_sent + m.rules->key_window - set_.tick; }
+  // The last moment at which the first byte of a repeat may be written.
+  Time window_end(const Message& m) const {
+    return m.ran_sent + m.rules->key_window - set_.tick - kWindowMargin;
+  }
 
   Time last_moment(const Message& m) const { return m.in.due - 2 * set_.tick; }
 
@@ -1220,7 +1223,7 @@
     attempts_[{m.in.id, m.attempts++}] = {host.member.endpoint, now_, last_call_, false, scout, idle_};
     Send out{m.in.id, host.member.endpoint, timeout_of(m, d)};
     const bool window = m.ran && m.rules->effect == Effect::kKeyed;
-    if (window) out.start_by = window_end(m) - kWindowMargin;
+    if (window) out.start_by = window_end(m);
     out_->push_back(out);
   }
 
