Upstream: a call that was written whole never passes for one that never ran

Seen by test only: a call written on a resting connection and cancelled before the next turn of the event loop ended as connect_failed, while the host read the whole request. Relay::ended then records never_ran and the message goes out again, also one that may not be repeated.

Cause: http::async_write hands the bytes to the system at once, but Exchange::written_ was set in its completion, one turn later. A cancel (Policy::free_slots, a call that waited long for its connection is overdue by then), a time-out or an orphaned bundle part in between asked unanswered(), which said "never wholly written". Ruled out: the error path of the write (an error means that bytes were left over, so the last one was not written).

Change: the request is written synchronously on the non-blocking socket and only what the system does not take waits for it, so written_ is exact at each moment. Reads wait for readiness and then read, likewise.

CrossingTest.ACallGivenUpRightAfterItsLastByteMayHaveRun failed before (connect_failed for cancelled), seen; the others in the file passed before and rule out: a partial write, an answer ahead of the last byte, an answer cut at each byte by FIN and by RST, a bundle's, answers without an end, an answer and a time-out found together.

--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -152,6 +152,7 @@
     std::optional<Outcome> outcome;  // its own, where the answer tells the messages apart
     bool gone = false;               // and it says that the message is over
     bool began = false;              // MayStart allowed it
+    bool sent = false;               // and it is in the request
     bool over = false;
   };
 
@@ -166,10 +167,14 @@
   }
 
   void reuse() {
-    if (usable(socket_)) {
-      arm(deadline_);
-      return write();
-    }
+    kept_ = true;
+    if (!usable(socket_)) return connect_anew();
+    arm(deadline_);
+    write();
+  }
+
+  void connect_anew() {
+    kept_ = false;
     Error ignored;
     socket_.close(ignored);
     connect();
@@ -182,6 +187,7 @@
       if (error) return self->finish(Outcome::kConnectFailed);
       Error ignored;
       self->socket_.set_option(tcp::no_delay(true), ignored);
+      self->socket_.non_blocking(true, ignored);
       self->arm(self->deadline_);
       self->write();
     });
@@ -228,15 +234,18 @@
     std::vector<Part*> going;
     for (Part& part : parts_) {
       if (part.over) continue;
-      part.began = probe_ || owner_->may_start_(part.call);
-      if (part.began) going.push_back(&part);
+      if (!probe_ && !owner_->may_start_(part.call)) continue;
+      part.began = true;  // also where it is asked once more, for a new connection
+      going.push_back(&part);
     }
     if (going.empty()) {
       idle_ = true;
       return finish(Outcome::kMoot);
     }
     for (Part& part : parts_) {
-      if (!part.over && !part.began) end(part, Outcome::kMoot);
+      if (!part.over && std::find(going.begin(), going.end(), &part) == going.end()) {
+        end(part, Outcome::kMoot);
+      }
     }
     bundle_ = going.size() > 1;
     request_.version(11);
@@ -244,6 +253,7 @@
     request_.target(probe_ ? "/-/healthy" : bundle_ ? "/events/bundle" : "/events");
     request_.set(http::field::host, address_.address().to_string());
     if (!probe_) {
+      for (Part* part : going) part->sent = true;
       Call& only = going.front()->call;
       if (bundle_) {
         for (const Part* part : going) request_.body() += bundle_line(part->call);
@@ -256,25 +266,43 @@
       request_.set("X-Budget", std::to_string(left) + "m");
       request_.prepare_payload();
     }
-    const size_t count = probe_ ? 0 : going.size();
-    http::async_write(socket_, request_, [self = shared_from_this(), count](const Error& error, size_t) {
-      if (!error && self->owner_ != nullptr) self->owner_->written_ += count;
-      if (self->over_) return;
-      if (error) return self->finish(Outcome::kConnectFailed);
-      self->written_ = true;
-      self->read();
-    });
+    unsent_.emplace(request_);
+    write_on();
+  }
+
+  // Here and now, so that no other event finds the last byte written and this side not aware of it: the host
+  // gets the call, and it would pass for one that never ran.
+  void write_on() {
+    Error error;
+    while (!error && !unsent_->is_done()) http::write_some(socket_, *unsent_, error);
+    if (error == boost::asio::error::would_block) {
+      return socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const Error& failed) {
+        if (self->over_) return;
+        failed ? self->finish(Outcome::kConnectFailed) : self->write_on();
+      });
+    }
+    if (error) return finish(Outcome::kConnectFailed);
+    written_ = true;
+    if (!probe_) {
+      owner_->written_ += static_cast<size_t>(
+          std::count_if(parts_.begin(), parts_.end(), [](const Part& part) { return part.sent; }));
+    }
+    read();
   }
 
   void read() {
-    socket_.async_read_some(buffer_.prepare(kReadAtOnce),
-                            [self = shared_from_this()](const Error& error, size_t count) {
-                              if (self->over_) return;
-                              self->buffer_.commit(count);
-                              self->read_ += count;
-                              if (count > 0) return self->heard();
-                              self->ended(error);
-                            });
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const Error&) {
+      if (!self->over_) self->take();
+    });
+  }
+
+  void take() {
+    Error error;
+    const size_t count = socket_.read_some(buffer_.prepare(kReadAtOnce), error);
+    if (error == boost::asio::error::would_block) return read();
+    buffer_.commit(count);
+    read_ += count;
+    count > 0 ? heard() : ended(error);
   }
 
   // From its first byte on an answer has little time to become whole: a host that spoils it may leave the
@@ -342,7 +370,7 @@
       if (line.empty()) continue;
       const size_t space = line.find(' ');
       const auto part = std::find_if(parts_.begin(), parts_.end(), [&](const Part& p) {
-        return p.began && !p.outcome && p.call.call_id == line.substr(0, space);
+        return p.sent && !p.outcome && p.call.call_id == line.substr(0, space);
       });
       if (space == std::string_view::npos || part == parts_.end()) return false;
       const std::string_view what = line.substr(space + 1);
@@ -359,7 +387,7 @@
         return false;
       }
     }
-    return std::all_of(parts_.begin(), parts_.end(), [](const Part& p) { return !p.began || p.outcome; });
+    return std::all_of(parts_.begin(), parts_.end(), [](const Part& p) { return !p.sent || p.outcome; });
   }
 
   void answered() {
@@ -440,11 +468,13 @@
   tcp::socket socket_;
   boost::asio::steady_timer timer_;
   http::request<http::string_body> request_;
+  std::optional<http::request_serializer<http::string_body>> unsent_;
   boost::beast::flat_buffer buffer_{kMostBody};
   std::optional<http::response_parser<http::string_body>> parser_;
   Time begun_ = 0;
   Time deadline_ = 0;
-  Time until_ = 0;  // when the whole call is given up
+  Time until_ = 0;     // when the whole call is given up
+  bool kept_ = false;  // the connection has rested
   bool bundle_ = false;
   bool written_ = false;
   bool over_ = false;
--- /dev/null
+++ b/tests/crossing_test.cpp
@@ -0,0 +1,246 @@
+// Calls to hosts where two events cross: what came, what was written and what ends the call meet in the order
+// that the test sets.
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <functional>
+
+#include "peers.h"
+#include "upstream.h"
+
+namespace firspool::relay {
+namespace {
+
+using testing::Request;
+using testing::Socket;
+
+constexpr size_t kMoreThanTheSystemHolds = 32 * 1024 * 1024;
+
+class CrossingTest : public ::testing::Test {
+ protected:
+  void begin(const std::string& body = "body", Time timeout = 60'000'000, int messages = 1) {
+    std::vector<Call> calls(messages);
+    for (Call& call : calls) {
+      call.id = ++last_;
+      call.endpoint = {1, 0};
+      call.address = {boost::asio::ip::address_v4::loopback(), listener_.port()};
+      call.call_id = std::string(1, static_cast<char>('a' + (&call - calls.data())));
+      call.body = body;
+      call.timeout = timeout;
+    }
+    ends_.clear();
+    messages_ = calls.size();
+    upstream_.call(std::move(calls));
+  }
+
+  // Runs the loop until the call is over.
+  AttemptEnded end() {
+    io_.restart();
+    while (ends_.size() < messages_) io_.run_one();
+    return ends_.front();
+  }
+
+  // Runs the loop beside the host's part, which ends first or with the call.
+  AttemptEnded end_beside(const std::function<void()>& part) {
+    std::thread host(part);
+    AttemptEnded out = end();
+    host.join();
+    return out;
+  }
+
+  Request next() {
+    pollfd waiting{listener_.fd(), POLLIN, 0};
+    if (::poll(&waiting, 1, testing::kDeadlineMs) <= 0) return {};
+    connection_ = listener_.accept();
+    return testing::read_request(connection_).value_or(Request{});
+  }
+
+  // A connection that rests, for longer than the relay waits for what a host sends behind an answer.
+  void rest() {
+    begin();
+    const AttemptEnded ok = end_beside([&] {
+      next();
+      connection_.send(kOk);
+    });
+    ASSERT_EQ(ok.outcome, Outcome::kOk);
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+
+  // Until what was sent has arrived, so that the relay's end can read it.
+  static void arrived(const Socket& socket) {
+    int left = 1;
+    while (::ioctl(socket.fd(), TIOCOUTQ, &left) == 0 && left > 0) std::this_thread::yield();
+  }
+  static void end_arrived(const Socket& socket) {
+    ::shutdown(socket.fd(), SHUT_WR);
+    tcp_info info{};
+    do {
+      socklen_t size = sizeof info;
+      ASSERT_EQ(::getsockopt(socket.fd(), IPPROTO_TCP, TCP_INFO, &info, &size), 0);
+    } while (info.tcpi_state != TCP_FIN_WAIT2);
+  }
+
+  static size_t bytes_until_the_end(const Socket& socket) {
+    std::string bytes(1 << 20, 0);
+    size_t all = 0;
+    for (ssize_t got = 0; (got = ::recv(socket.fd(), bytes.data(), bytes.size(), 0)) > 0;) {
+      all += static_cast<size_t>(got);
+    }
+    return all;
+  }
+
+  const std::string kOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+
+  boost::asio::io_context io_;
+  std::function<void()> before_start_ = [] {};
+  std::vector<AttemptEnded> ends_;
+  size_t messages_ = 0;
+  bool began_ = false;
+  uint64_t last_ = 0;
+  Socket listener_ = Socket::listen();
+  Socket connection_;
+  Upstream upstream_{io_,
+                     {1'000'000, 10'000'000, 16},
+                     {},
+                     [this](const Call&) {
+                       before_start_();
+                       return true;
+                     },
+                     [this](const AttemptEnded& end, bool began) {
+                       ends_.push_back(end);
+                       began_ = began;
+                     },
+                     [](const ProbeEnded&) {}};
+};
+
+// The system has the whole call as soon as it was written, and the host gets it also where the connection is
+// closed right after: taken for one that never ran, it would run twice.
+TEST_F(CrossingTest, ACallGivenUpRightAfterItsLastByteMayHaveRun) {
+  rest();
+  begin("effect");
+  upstream_.cancel(last_, 0);
+  EXPECT_EQ(end().outcome, Outcome::kCancelled);
+  EXPECT_EQ(testing::read_request(connection_).value_or(Request{}).body, "effect");
+}
+
+TEST_F(CrossingTest, ACallWhoseLastByteWasNotWrittenNeverRan) {
+  const std::string large(kMoreThanTheSystemHolds, 'x');
+  begin(large, 300'000);
+  EXPECT_EQ(end().outcome, Outcome::kConnectFailed);
+  connection_ = listener_.accept();
+  EXPECT_LT(bytes_until_the_end(connection_), large.size());
+  const auto call = [&](const std::function<void()>& part) {
+    begin(large);
+    return end_beside(part).outcome;
+  };
+  EXPECT_EQ(call([&] {
+              connection_ = listener_.accept();
+              connection_.exactly(1000);
+              connection_.reset();
+            }),
+            Outcome::kConnectFailed);
+  // Its answer was there already.
+  EXPECT_EQ(call([&] {
+              connection_ = listener_.accept();
+              connection_.exactly(1000);
+              connection_.send("HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n");
+              arrived(connection_);
+              connection_.reset();
+            }),
+            Outcome::kConnectFailed);
+}
+
+TEST_F(CrossingTest, AnAnswerAheadOfTheCallsLastByteIsItsAnswer) {
+  begin(std::string(kMoreThanTheSystemHolds, 'x'));
+  const AttemptEnded full = end_beside([&] {
+    connection_ = listener_.accept();
+    connection_.exactly(1000);
+    connection_.send("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n");
+    arrived(connection_);
+    size_t left = kMoreThanTheSystemHolds - 1000;
+    while (left > 0) {
+      const size_t got = connection_.exactly(std::min<size_t>(left, 1 << 20)).size();
+      if (got == 0) return;
+      left -= got;
+    }
+  });
+  EXPECT_EQ(full.outcome, Outcome::kFull);
+}
+
+// A process that stood still finds the answer and the end of its patience at once.
+TEST_F(CrossingTest, AnAnswerThatCameWhileTheProcessStoodStillCounts) {
+  rest();
+  begin("body", 100'000);
+  while (upstream_.written() < last_) io_.run_one();
+  ASSERT_EQ(testing::read_request(connection_).value_or(Request{}).body, "body");
+  connection_.send(kOk);
+  arrived(connection_);
+  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  EXPECT_EQ(end().outcome, Outcome::kOk);
+}
+
+// Wherever an answer breaks off, by an end or by a reset: it may have run, and has if its first line says so.
+TEST_F(CrossingTest, AnAnswerCutAtAnyByteClaimsNothing) {
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n";
+  const std::string busy = "HTTP/1.1 429 x\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nhi";
+  const std::string early = "HTTP/1.1 100 x\r\n\r\n";
+  const size_t line = std::string("HTTP/1.1 200 ").size();
+  for (const std::string& answer : {kOk, chunked, busy, early + kOk}) {
+    const size_t told = answer.starts_with(busy.substr(0, line))    ? answer.size() + 1
+                        : answer.starts_with(early.substr(0, line)) ? early.size() + line
+                                                                    : line;
+    for (size_t cut = 0; cut < answer.size(); ++cut) {
+      for (const bool resets : {false, true}) {
+        begin();
+        const AttemptEnded out = end_beside([&] {
+          next();
+          connection_.send(answer.substr(0, cut));
+          arrived(connection_);
+          resets ? connection_.reset() : connection_.close();
+        });
+        const Outcome due = cut == 0 ? Outcome::kReset : cut < told ? Outcome::kSpoilt : Outcome::kOk;
+        ASSERT_EQ(out.outcome, due) << answer.substr(0, cut) << " resets: " << resets;
+        ASSERT_EQ(out.final, due == Outcome::kOk);
+        ASSERT_EQ(out.wait, 0);
+      }
+    }
+  }
+}
+
+TEST_F(CrossingTest, ABundlesAnswerCutAtAnyByteIsNobodysProof) {
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\na done\r\nb busy\r\n";
+  for (size_t cut = 1; cut < answer.size(); ++cut) {
+    begin("body", 60'000'000, 2);
+    end_beside([&] {
+      next();
+      connection_.send(answer.substr(0, cut));
+      connection_.close();
+    });
+    for (const AttemptEnded& each : ends_) {
+      ASSERT_EQ(each.outcome, Outcome::kSpoilt) << answer.substr(0, cut);
+      ASSERT_FALSE(each.final);
+    }
+  }
+}
+
+// Each is over long before the call's time is, and the host sees the connection close.
+TEST_F(CrossingTest, AnAnswerThatNeverEndsOrNeverComesIsBounded) {
+  const std::string flood(64 * 1024, 'x');
+  for (const std::string& bytes :
+       {std::string("HTTP/1.1 100 x\r\n\r\n"), "HTTP/1.1 503 x\r\nContent-Length: 60000000\r\n\r\n" + flood,
+        std::string("HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n")}) {
+    begin();
+    const AttemptEnded out = end_beside([&] {
+      next();
+      while (connection_.send(bytes)) continue;  // until the relay closes
+    });
+    EXPECT_EQ(out.outcome, Outcome::kSpoilt) << bytes.substr(0, 40);
+    EXPECT_LT(out.took, 30'000'000);
+  }
+}
+
+}  // namespace
+}  // namespace firspool::relay
