Upstream: an answer that is there counts when its call is given up

Seen by test: with a 200 in the socket, a cancel ended the call as cancelled, closed over the unread answer (a reset for the host), and the message was still owed: sent again, or failed where it may not be repeated. The same for 503, half a status line, and the end of the connection (taken for a cancel instead of a reset).

Change: give_up reads once more. Ruled out: a time-out beside an answer after the process stood still: the loop reads before it looks at its timers (AnAnswerThatCameWhileTheProcessStoodStillCounts passed before).

CrossingTest.WhatCameBeforeACallIsGivenUpCounts failed before (four of its five cases), seen.

--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -222,7 +222,9 @@
     return heard_ ? Outcome::kSpoilt : written_ ? outcome : Outcome::kConnectFailed;
   }
 
+  // What is there by now counts: the close would lose it.
   void give_up(Outcome outcome) {
+    if (written_ && !over_) take();
     if (over_) return;
     if (heard_) return spoilt();
     finish(unanswered(outcome));
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -170,6 +170,29 @@
   EXPECT_EQ(full.outcome, Outcome::kFull);
 }
 
+// The close would take it with it: a message that was delivered would be sent again, or failed.
+TEST_F(CrossingTest, WhatCameBeforeACallIsGivenUpCounts) {
+  const auto given_up = [&](const std::string& bytes, bool ends) {
+    begin();
+    std::thread host([&] { next(); });
+    while (upstream_.written() < last_) io_.run_one();
+    host.join();
+    connection_.send(bytes);
+    arrived(connection_);
+    if (ends) end_arrived(connection_);
+    upstream_.cancel(last_, 0);
+    return ends_.at(0);
+  };
+  EXPECT_EQ(given_up("", false).outcome, Outcome::kCancelled);
+  const std::string rest = "Connection: close\r\nContent-Length: 0\r\n\r\n";
+  const AttemptEnded served = given_up("HTTP/1.1 200 OK\r\n" + rest, false);
+  EXPECT_EQ(served.outcome, Outcome::kOk);
+  EXPECT_TRUE(served.final);
+  EXPECT_EQ(given_up("HTTP/1.1 503 x\r\n" + rest, false).outcome, Outcome::kFull);
+  EXPECT_EQ(given_up("HTTP/1.1 503 x\r\n", false).outcome, Outcome::kSpoilt);
+  EXPECT_EQ(given_up("", true).outcome, Outcome::kReset);
+}
+
 // A process that stood still finds the answer and the end of its patience at once.
 TEST_F(CrossingTest, AnAnswerThatCameWhileTheProcessStoodStillCounts) {
   rest();
