Upstream: a resting connection is looked at right before the call's first byte

Seen by test: half a line, or the connection's end, that comes while the call is put on record goes unseen. The call was written on that connection; half a line "HTTP/1.1 200 O" made its 503 a delivery (the message was lost), an end made a reset of a call that could have gone out on a new connection.

Change: after MayStart the connection is looked at once more; if it is of no use the same attempt goes out on a new one.

CrossingTest.WhatComesOnARestingConnectionSendsTheCallOnANewOne failed before (outcomes ok and reset for full, 97 bytes of the call on the old connection), seen. What comes between that look and the write, two system calls apart, can not be told from an early answer.

--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -244,6 +244,8 @@
       idle_ = true;
       return finish(Outcome::kMoot);
     }
+    // Asking puts the calls on record, and meanwhile the host may have written or ended the connection.
+    if (kept_ && !usable(socket_)) return connect_anew();
     for (Part& part : parts_) {
       if (!part.over && std::find(going.begin(), going.end(), &part) == going.end()) {
         end(part, Outcome::kMoot);
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -205,6 +205,30 @@
   EXPECT_EQ(end().outcome, Outcome::kOk);
 }
 
+// Half a line would be taken for the beginning of the answer, and an end would lose the call: both show
+// before the call is written, also where they come while the call is put on record.
+TEST_F(CrossingTest, WhatComesOnARestingConnectionSendsTheCallOnANewOne) {
+  for (const bool recording : {false, true}) {
+    for (const std::string bytes : {"HTTP/1.1 200 O", ""}) {
+      rest();
+      Socket old = std::move(connection_);
+      const auto cross = [&] {
+        bytes.empty() ? end_arrived(old) : void(old.send(bytes));
+        arrived(old);
+        before_start_ = [] {};
+      };
+      recording ? void(before_start_ = cross) : cross();
+      begin();
+      const AttemptEnded full = end_beside([&] {
+        EXPECT_EQ(next().body, "body");
+        connection_.send("HTTP/1.1 503 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+      });
+      EXPECT_EQ(full.outcome, Outcome::kFull) << bytes << recording;
+      EXPECT_EQ(bytes_until_the_end(old), 0u) << "of the call";
+    }
+  }
+}
+
 // Wherever an answer breaks off, by an end or by a reset: it may have run, and has if its first line says so.
 TEST_F(CrossingTest, AnAnswerCutAtAnyByteClaimsNothing) {
   const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n";
