--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -44,6 +44,7 @@
   Time give_up = 0;       // how long it may be delivered, from when it was first handed in
   double worth = 1;
   double late_worth = 0;  // share of the worth that is left at the end
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct KindSettings {
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -145,7 +145,8 @@
     entry.message.destination = static_cast<int>(in.number());
     entry.due = in.number();
     entry.message.body = in.text();
-    if (in.more()) entry.message.tenant = in.text();  // not in older records
+    if (in.more()) entry.message.tenant = in.text();  // neither is in older records
+    if (in.more()) entry.rules = in.number();
     places[id] = recovered_.size();
     recovered_.push_back(std::move(entry));
     places_[id] = ++order_;
@@ -219,9 +220,15 @@
   return done;
 }
 
-bool Journal::accepted(const Handed& m, Time due) {
+bool Journal::accepted(const Handed& m, Time due, int64_t rules) {
   Writer out(kAccepted, m.id);
-  out.text(m.message_class).text(m.key).number(m.destination).number(due).text(m.body).text(m.tenant);
+  out.text(m.message_class)
+      .text(m.key)
+      .number(m.destination)
+      .number(due)
+      .text(m.body)
+      .text(m.tenant)
+      .number(rules);
   const size_t bytes = kHeader + out.payload().size() + kReserve;
   if (static_cast<double>(live_bytes_ + bytes) > kAcceptPart * static_cast<double>(most_file_)) return false;
   places_[m.id] = ++order_;
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -18,6 +18,7 @@
   int attempts = 0;
   std::map<int, std::pair<Time, int>> unsettled;  // attempts that may have run: when sent, to which zone
   std::optional<Notice> owed;
+  int64_t rules = 0;  // as told with it; 0: not told
 };
 
 class Journal {
@@ -35,8 +36,9 @@
   // What was remembered last under each name.
   const std::map<std::string, std::string>& remembered() const { return remembered_; }
 
-  // False: there is no room or it could not be written, and the message must not be taken on.
-  bool accepted(const Handed& message, Time due);
+  // False: there is no room or it could not be written, and the message must not be taken on. `rules`: what
+  // its class allows, by a number that the caller remembers.
+  bool accepted(const Handed& message, Time due, int64_t rules = 0);
   // False: it could not be written, and the call must not start.
   bool attempt(const std::string& id, int number, Time sent, int zone);
   void never_ran(const std::string& id, int number);
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -16,7 +16,8 @@
 const std::string kDestination = "destination ";
 const std::string kGone = "gone ";
 const std::string kSuspended = "suspended ";
-const std::string kClass = "class ";  // one that the settings name no more
+const std::string kRules = "rules ";  // what a class allows, by number: messages name theirs
+const std::string kClass = "class ";  // the same by the class's name, for messages of versions before
 const std::string kRevision = "revision";
 const std::string kIdentity = "identity";
 const std::string kDestinations = "destinations";
@@ -164,7 +165,6 @@
     if (name == kDestinations) {
       for (const int destination : fact.get<std::vector<int>>()) directory_.add_destination(destination);
     }
-    if (name.starts_with(kClass)) recall_class(name.substr(kClass.size()), value);
     if (name.starts_with(kSuspended)) directory_.suspend(name.substr(kSuspended.size()));
     if (name.starts_with(kFence)) fences_.recall(name.substr(kFence.size()), fact.get<Token>());
     if (name.starts_with(kHost)) members.push_back(fact);
@@ -218,12 +218,72 @@
   told(list);
 }
 
-// What is held of it keeps its rules; nobody hands in more. The next reload forgets it.
-void Relay::recall_class(const std::string& name, const std::string& text) {
-  if (class_of(name) >= 0) return;
-  config_.settings.classes.push_back(read_class(name, text));
-  retired_[name] = {0, config_.settings.classes.back().give_up, true};
-  happened(SettingsChanged{std::make_shared<const Settings>(config_.settings)});
+// What a message's class allows is remembered before the message: a restart may bring settings in which that
+// class allows more, or is not named at all.
+int64_t Relay::rules_now(const std::string& message_class) {
+  int64_t& number = rules_[message_class];
+  if (number != 0) return number;
+  const std::string text = class_text(config_.settings.classes[class_of(message_class)]);
+  int64_t last = 0;
+  const auto& facts = journal_.remembered();
+  for (auto it = facts.lower_bound(kRules); it != facts.end() && it->first.starts_with(kRules); ++it) {
+    const int64_t known = std::stoll(it->first.substr(kRules.size()));
+    last = std::max(last, known);
+    if (it->second == text) return number = known;
+  }
+  number = last + 1;
+  journal_.remember(kRules + std::to_string(number), text);
+  return number;
+}
+
+// Where nothing at all is known it may run once.
+ClassSettings Relay::rules_of(const Recovered& entry) const {
+  const std::string& name = entry.message.message_class;
+  const auto& facts = journal_.remembered();
+  const auto known = facts.find(kRules + std::to_string(entry.rules));
+  if (known != facts.end()) return read_class(name, known->second);
+  if (const int now = class_of(name); now >= 0) return config_.settings.classes[now];
+  const auto before = facts.find(kClass + name);
+  if (before != facts.end()) return read_class(name, before->second);
+  ClassSettings out;
+  out.name = name;
+  return out;
+}
+
+// Those that no message has nor will have. Once all are resumed: before, nothing is known of what is held.
+void Relay::forget_rules() {
+  if (!clients_) return;
+  std::set<std::string> used;
+  for (const auto& [number, held] : held_) {
+    used.insert(held.rules == 0 ? kClass + held.handed.message_class : kRules + std::to_string(held.rules));
+  }
+  std::set<std::string> texts;
+  for (const ClassSettings& c : config_.settings.classes) texts.insert(class_text(c));
+  std::vector<std::string> over;
+  for (const auto& [name, text] : journal_.remembered()) {
+    const bool rules = name.starts_with(kRules);
+    if ((rules && !texts.contains(text) && !used.contains(name)) ||
+        (name.starts_with(kClass) && !used.contains(name))) {
+      over.push_back(name);
+    }
+  }
+  for (const std::string& name : over) journal_.remember(name, "");
+}
+
+// The module takes messages under rules that the settings have no more.
+void Relay::arrive(const std::vector<Kept>& messages) {
+  auto all = std::make_shared<Settings>(config_.settings);
+  std::vector<Arrival> arrivals;
+  for (const auto& [in, rules] : messages) {
+    const auto place = std::find(all->classes.begin(), all->classes.end(), rules);
+    arrivals.push_back(in);
+    arrivals.back().message_class = static_cast<int>(place - all->classes.begin());
+    if (place == all->classes.end()) all->classes.push_back(rules);
+  }
+  const bool more = all->classes.size() > config_.settings.classes.size();
+  if (more) happened(SettingsChanged{all});
+  for (const Arrival& in : arrivals) happened(in);
+  if (more) happened(SettingsChanged{std::make_shared<const Settings>(config_.settings)});
 }
 
 void Relay::remember(const DestinationMemory& memory) {
@@ -258,6 +318,7 @@
       io_, config_.listen, most_clients(config_),
       [this](Handed handed, Clients::Answer answer) { put(std::move(handed), std::move(answer)); },
       listener_.release());
+  forget_rules();
   handover_.hear([this](std::optional<Parcel> parcel) { heard_before(std::move(parcel)); });
   if (draining_) clients_->drain();
   listening_(clients_->address());
@@ -348,6 +409,7 @@
 void Relay::resume() {
   const Time now = steady_now();
   const Time wall = wall_now();
+  std::vector<Kept> arrivals;
   for (const Recovered& entry : journal_.recovered()) {
     if (entry.owed) {
       notices_.add(*entry.owed);
@@ -359,14 +421,10 @@
     held.due = now + (entry.due - wall);
     held.attempts = entry.attempts;
     held.accepted = true;
+    held.rules = entry.rules;
     numbers_[entry.message.id] = number;
     Arrival in;
     in.id = number;
-    in.message_class = class_of(entry.message.message_class);
-    if (in.message_class < 0) {  // no class of these settings: nothing is known of what it allows
-      finish(number, Notice{entry.message.id, false, 0});
-      continue;
-    }
     in.tenant = tenant_of(entry.message.tenant);
     in.due = held.due;
     in.destination = entry.message.destination;
@@ -383,9 +441,11 @@
       in.ran_sent = now + (sent - wall);
       in.ran_zone = zone;
     }
-    if (away != away_.end() && !resume_away(in, away->second)) continue;
-    happened(in);
+    Kept kept{in, rules_of(entry)};
+    if (away != away_.end() && !resume_away(kept, away->second)) continue;
+    arrivals.push_back(std::move(kept));
   }
+  arrive(arrivals);
   std::erase_if(away_, [](const auto& away) { return away.second.number == 0; });
 }
 
@@ -409,13 +469,13 @@
 }
 
 // Whether the module is to be told now.
-bool Relay::resume_away(Arrival& in, Away& away) {
-  away.number = in.id;
+bool Relay::resume_away(Kept& kept, Away& away) {
+  away.number = kept.in.id;
   if (directory_.find(away.call.endpoint) == nullptr) {
-    away.untold = in;
+    away.untold = kept;
     return false;
   }
-  in.out = away.call;
+  kept.in.out = away.call;
   ++out_[away.call.endpoint];
   return true;
 }
@@ -455,12 +515,13 @@
   if (handed_over_) return pass_on(id, end, began);
   ended(end, began);
   if (!away.untold || end.final) return;
-  Arrival in = *away.untold;
+  Kept kept = *away.untold;
+  Arrival& in = kept.in;
   if (began && !never_ran(end.outcome) && !in.ran) {
     in.ran = true;
     in.ran_sent = away.call.sent;
   }
-  happened(in);
+  arrive({std::move(kept)});
 }
 
 // In one turn all goes to the process that asked, but the calls that are out: their ends follow.
@@ -553,7 +614,8 @@
   in.due = steady_now() + handed.life - std::min(kTransit, handed.life);
   in.destination = handed.destination;
   numbers_[handed.id] = number;
-  held_[number] = {std::move(handed), in.due, 0, false};
+  const int64_t rules = rules_now(handed.message_class);
+  held_[number] = {std::move(handed), in.due, 0, false, rules};
   pending_.push_back({number, std::move(answer)});
   happened(in);
 }
@@ -622,22 +684,18 @@
   }
 }
 
-// A class that is gone stays in the settings, as it was: for a while for clients, and for what is held of it.
+// A class that is gone stays in the settings, as it was, for a while: for clients.
 void Relay::retire(Settings& next) {
   const Time now = steady_now();
   std::map<std::string, Retired> retired;
   std::set<std::string> named;
-  std::set<std::string> used;
   for (const ClassSettings& c : next.classes) named.insert(c.name);
-  for (const auto& [number, held] : held_) used.insert(held.handed.message_class);
   for (const ClassSettings& old : config_.settings.classes) {
     const auto before = retired_.find(old.name);
     const bool gone = !named.contains(old.name);
     const bool again = gone && before != retired_.end() && before->second.gone;
     const Retired entry = again ? before->second : Retired{now + kRetire, old.give_up, gone};
-    const bool kept = entry.until > now || (gone && used.contains(old.name));
-    journal_.remember(kClass + old.name, kept && gone ? class_text(old) : "");
-    if (!kept) continue;
+    if (entry.until <= now) continue;
     retired[old.name] = entry;
     if (gone) next.classes.push_back(old);
   }
@@ -651,6 +709,8 @@
   config_.names = next.names;
   config_.report_fields = next.report_fields;
   config_.text = next.text;
+  rules_.clear();
+  forget_rules();
   happened(SettingsChanged{std::make_shared<const Settings>(next.settings)});
   upstream_.set(upstream_limits(config_), config_.report_fields);
   if (renamed) {
@@ -756,7 +816,8 @@
       if (const auto away = turned_away.find(item.number); away != turned_away.end()) {
         line->second = away->second;
         ++(line->second.starts_with(kRefused) ? figures.overload : figures.error);
-      } else if (journal_.accepted(handed, wall_now() + held->second.due - steady_now())) {
+      } else if (journal_.accepted(handed, wall_now() + held->second.due - steady_now(),
+                                   held->second.rules)) {
         held->second.accepted = true;
       } else {
         line->second = kBusy;  // no room on the disk
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -48,17 +48,22 @@
     Time due = 0;
     int attempts = 0;
     bool accepted = false;  // its record is written
+    int64_t rules = 0;      // what its class allowed when it came, by number; 0: not told
   };
   struct Retired {  // a class as it was: clients learn of new settings a little later
     Time until = 0;
     Time give_up = 0;
     bool gone = false;  // it is in the settings only for this
   };
+  struct Kept {  // a message of the process before
+    Arrival in;
+    ClassSettings rules;  // as they were when it came
+  };
   struct Away {  // a message whose call the process before still has out
     uint64_t number = 0;
     int attempt = 0;
     Arrival::Out call;
-    std::optional<Arrival> untold;  // its host is not listed any more: told once the call has ended
+    std::optional<Kept> untold;  // its host is not listed any more: told once the call has ended
   };
   struct Pending {  // handed in during this turn, not yet decided on
     uint64_t number = 0;
@@ -72,11 +77,14 @@
   void recall();
   void follow();
   void told_by_registry(const nlohmann::json& line);
-  void recall_class(const std::string& name, const std::string& text);
+  int64_t rules_now(const std::string& message_class);
+  ClassSettings rules_of(const Recovered& entry) const;
+  void forget_rules();
+  void arrive(const std::vector<Kept>& messages);
   void open();
   void resume();
   void take_over();
-  bool resume_away(Arrival& in, Away& away);
+  bool resume_away(Kept& kept, Away& away);
   void heard_before(std::optional<Parcel> parcel);
   void away_ended(const std::string& id, AttemptEnded end, bool began);
   void hand_over();
@@ -107,6 +115,7 @@
   boost::asio::io_context& io_;
   Config config_;
   std::map<std::string, Retired> retired_;
+  std::map<std::string, int64_t> rules_;  // of the settings' classes: the numbers that are remembered
   Directory directory_;
   std::unique_ptr<Control> control_;  // before the folder is taken over: its address may not be free
   Handover handover_;
