Discovery: a call in time after one that failed, however large the fleet

Cause: `Backoff` drew the pause after a failed call over the fleet's size, 0 to 12 s at 300 relays, doubling to 30 s, and from the failure on, which a hang adds 3 s to. A list could be over 30 s old after discovery was back; a change counts as told after 6 s. Lines at fault: kFirstSpan, kLongestSpan and next() in net/backoff.cpp, Watch::lost() and Follower::ended(), which took no account of when the failed call had begun.

A call ends after 2.00 s without an answer, the same whether discovery is down or has too much to do, so a relay cannot tell these apart. Calls from before its return cost nothing.

Registry members are followed at the same pace.

--- a/registry/follow.cpp
+++ b/registry/follow.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kSilence{3000};  // a line is due every 2 s
-// What a silent watch misses counts as told 6 s after it fell silent, which may be 2 s before that was
+// What a silent watch misses counts as told 6 s after it fell silent, which may be 3 s before that was
 // noticed.
 constexpr std::chrono::milliseconds kAfterSilence{1000};
 constexpr auto kTick = std::chrono::milliseconds(500);
@@ -34,7 +34,7 @@
       tick_(io),
       at_(net::Random(settings_.seed, 5).below(settings_.members.size())) {
   if (!saved.is_null()) listener_.told(guard_.restore(saved));
-  connect_later();
+  connect_in(backoff_.next());
   tick();
 }
 
@@ -47,8 +47,8 @@
   tick_.cancel();
 }
 
-void Follower::connect_later(milliseconds most) {
-  pause_.expires_after(backoff_.next(most));
+void Follower::connect_in(milliseconds pause) {
+  pause_.expires_after(pause);
   pause_.async_wait([this](const boost::system::error_code& error) {
     if (!error && !stream_) connect();
   });
@@ -63,6 +63,8 @@
   std::string target = "/api/targets?stream=1";
   if (guard_.revision() >= 0)
     target += "&index=" + std::to_string(guard_.revision()) + "&identity=" + guard_.identity();
+  called_ = std::chrono::steady_clock::now();
+  answered_ = false;
   stream_->start(target);
 }
 
@@ -72,13 +74,18 @@
   stream_.reset();
   at_ = (at_ + 1) % settings_.members.size();
   ++moves_;
-  connect_later(how == net::Lines::End::kSilent ? kAfterSilence : milliseconds::max());
+  if (answered_) {
+    return connect_in(backoff_.next(how == net::Lines::End::kSilent ? kAfterSilence : milliseconds::max()));
+  }
+  const auto since = std::chrono::steady_clock::now() - called_;
+  connect_in(backoff_.again(std::chrono::duration_cast<milliseconds>(since)));
 }
 
 Millis Follower::heard_ms() const { return heard_ < 0 ? -1 : now_ms() - heard_; }
 
 void Follower::current() {
   backoff_.reset();
+  answered_ = true;
   heard_ = now_ms();
   listener_.current();
 }
--- a/registry/follow.h
+++ b/registry/follow.h
@@ -44,7 +44,7 @@
 
  private:
   void connect();
-  void connect_later(std::chrono::milliseconds most = std::chrono::milliseconds::max());
+  void connect_in(std::chrono::milliseconds pause);
   void ended(const net::Lines* stream, net::Lines::End how);
   bool line(const std::string& text);
   void current();
@@ -59,6 +59,8 @@
   boost::asio::steady_timer pause_;
   boost::asio::steady_timer tick_;
   std::shared_ptr<net::Lines> stream_;
+  std::chrono::steady_clock::time_point called_;  // when that was begun,
+  bool answered_ = false;                         // and whether it said that its list is current
   size_t at_ = 0;
   Millis heard_ = -1;
   uint64_t moves_ = 0;
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -14,9 +14,12 @@
 
 constexpr milliseconds kFirstPause{50};
 constexpr milliseconds kSilence{3000};  // an empty line is due every 2 s
-// What a silent watch misses counts as told 6 s after it fell silent, which may be 2 s before that is
+// What a silent watch misses counts as told 6 s after it fell silent, which may be 3 s before that is
 // noticed; a call may have to wait for 2 s.
 constexpr milliseconds kAfterSilence{1000};
+// After SIGHUP all counts as told 4 s later: a fleet that is 4 s of discovery's work, one after another, is
+// told in time, and 1 s of it waits at the end.
+constexpr milliseconds kAfterMove{3000};
 constexpr milliseconds kLongestPushed{200};  // between calls to an agent that serves this relay only
 constexpr size_t kMostOld = 2;
 constexpr milliseconds kPostTimeout{400};  // the agent is on this machine and answers at once
@@ -57,11 +60,15 @@
     old_.erase(old_.begin());
   }
   backoff_.reset();
-  connect_later();
+  connect_later(kAfterMove);
 }
 
 void Watch::connect_later(milliseconds most) {
-  pause_.expires_after(backoff_.next(pushed_ ? std::min(most, kLongestPushed) : most));
+  connect_in(backoff_.next(pushed_ ? std::min(most, kLongestPushed) : most));
+}
+
+void Watch::connect_in(milliseconds pause) {
+  pause_.expires_after(pause);
   pause_.async_wait([this](const Error& error) {
     if (!error && !stream_) connect();
   });
@@ -71,9 +78,16 @@
   // The stream is named by its address: it may be an old one by the time it ends.
   const auto self = std::make_shared<net::Lines*>(nullptr);
   stream_ = std::make_shared<net::Lines>(
-      io_, address_, kSilence, [this](const std::string& text) { return line(text); },
+      io_, address_, kSilence,
+      [this, self](const std::string& text) {
+        if (!line(text)) return false;
+        answered_ = answered_ || *self == stream_.get();
+        return true;
+      },
       [this, self](net::Lines::End how) { lost(*self, how); });
   *self = stream_.get();
+  called_ = std::chrono::steady_clock::now();
+  answered_ = false;
   stream_->start("/api/targets?stream=1&index=" + std::to_string(revision_()));
 }
 
@@ -84,7 +98,11 @@
     return void(std::erase_if(old_, [stream](const auto& old) { return old.get() == stream; }));
   }
   stream_.reset();
-  connect_later(how == net::Lines::End::kSilent ? kAfterSilence : milliseconds::max());
+  if (answered_ || pushed_) {
+    return connect_later(how == net::Lines::End::kSilent ? kAfterSilence : milliseconds::max());
+  }
+  const auto since = std::chrono::steady_clock::now() - called_;
+  connect_in(backoff_.again(std::chrono::duration_cast<milliseconds>(since)));
 }
 
 bool Watch::line(const std::string& text) {
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -49,6 +49,7 @@
  private:
   void connect();
   void connect_later(std::chrono::milliseconds most = std::chrono::milliseconds::max());
+  void connect_in(std::chrono::milliseconds pause);
   void lost(net::Lines* stream, net::Lines::End how);
   bool line(const std::string& text);
 
@@ -62,6 +63,8 @@
   bool pushed_;
   net::Backoff backoff_;
   std::shared_ptr<net::Lines> stream_;
+  std::chrono::steady_clock::time_point called_;  // when that was begun,
+  bool answered_ = false;                         // and whether a line came on it
   std::vector<std::shared_ptr<net::Lines>> old_;  // of addresses before, until they end
 };
 
--- /dev/null
+++ b/tests/discovery_test.cpp
@@ -0,0 +1,257 @@
+// How relays call discovery: how old their lists get where calls fail, and what that asks of discovery.
+#include "discovery.h"
+
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <queue>
+#include <thread>
+
+#include "net/backoff.h"
+#include "peers.h"
+
+namespace firspool::relay {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::kDeadlineMs;
+using testing::read_request;
+using testing::Socket;
+
+constexpr int kGivenUp = 2000;  // after so long; noticed where an answer would have come
+constexpr int kPath = 150;      // a connection and a request
+constexpr int kHang = 3000;     // a call that hangs is noticed
+
+struct Fleet {
+  int callers;
+  double work;  // ms for a call; each is dealt with, also one that was given up
+};
+
+struct Outcome {
+  int oldest = 0;         // ms from when discovery can be reached until the last caller is answered
+  int given_up = 0;       // calls, from then on
+  double calls = 0;       // of one caller, from then on
+  double down_calls = 0;  // a second, of all callers, before
+};
+
+// All callers lose discovery in one instant and call it as a watch does. It is back at `back`; calls from
+// before end after `takes`, with no answer.
+Outcome play(const Fleet& fleet, int back, int takes, uint64_t seed,
+             milliseconds most = milliseconds::max()) {
+  struct Call {
+    int at;
+    int caller;
+    bool operator>(const Call& other) const { return at > other.at; }
+  };
+  std::vector<net::Backoff> callers;
+  std::priority_queue<Call, std::vector<Call>, std::greater<>> calls;
+  for (int i = 0; i < fleet.callers; ++i) {
+    callers.emplace_back(fleet.callers, seed * 1000 + static_cast<uint64_t>(i));
+    calls.push({static_cast<int>(callers.back().next(most).count()), i});
+  }
+  Outcome out;
+  double busy = back;  // until then discovery has work
+  int after = 0;
+  for (int done = 0; done < fleet.callers && calls.top().at < back + 60'000;) {
+    const Call call = calls.top();
+    calls.pop();
+    int failed_in = takes;
+    if (call.at >= back) {
+      ++after;
+      busy = std::max(busy, static_cast<double>(call.at)) + fleet.work;
+      const int in = static_cast<int>(busy) - call.at;
+      if (in <= kGivenUp) {
+        out.oldest = std::max(out.oldest, call.at + in + kPath - back);
+        ++done;
+        continue;
+      }
+      ++out.given_up;
+      failed_in = kGivenUp + kPath;
+    } else {
+      out.down_calls += 1000.0 / back;
+    }
+    const int ended = call.at + failed_in;
+    calls.push(
+        {ended + static_cast<int>(callers[call.caller].again(milliseconds(failed_in)).count()), call.caller});
+  }
+  if (!calls.empty()) out.oldest = 60'000;
+  out.calls = static_cast<double>(after) / fleet.callers;
+  return out;
+}
+
+// As measured and as the operators' days have it: what a whole fleet asks is up to 5.4 s of discovery's work.
+const std::vector<Fleet> kFleets = {{1, 300}, {6, 313},  {10, 150},  {30, 130},
+                                    {60, 83}, {100, 50}, {300, 17.9}};
+
+// Down for any time, and whether that shows at once, after 2 s, or not at all: discovery gives nobody up.
+TEST(Pace, LeavesNoCallerWithoutNewsForSixSecondsOnceDiscoveryIsBack) {
+  for (const Fleet& fleet : kFleets) {
+    Outcome worst;
+    for (const int takes : {kPath / 2, kGivenUp + kPath, kHang}) {
+      for (const int back : {1, 1500, 3300, 5885, 8000, 11'200, 22'000, 120'000}) {
+        for (uint64_t seed = 1; seed <= 20; ++seed) {
+          const Outcome out = play(fleet, back, takes, seed);
+          worst.oldest = std::max(worst.oldest, out.oldest);
+          worst.given_up = std::max(worst.given_up, out.given_up);
+          if (back > 10'000) worst.down_calls = std::max(worst.down_calls, out.down_calls);
+        }
+      }
+    }
+    EXPECT_LT(worst.oldest, 5900) << fleet.callers;
+    EXPECT_EQ(worst.given_up, 0) << fleet.callers;
+    EXPECT_LE(worst.down_calls, std::max(9.0, 0.28 * fleet.callers)) << fleet.callers;
+  }
+}
+
+// Slower than any that was seen: more than 6 s of work cannot be done in 6 s, but nobody is left behind.
+TEST(Pace, ComesThroughADiscoveryThatIsTooSlow) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    const Outcome out = play({300, 22}, 8000, kGivenUp + kPath, seed);
+    EXPECT_LT(out.oldest, 12'000);
+    EXPECT_LT(out.calls, 2);
+  }
+}
+
+// SIGHUP moves all at once, and 4 s later all counts as told: 3 s of work, as on the operators' days.
+TEST(Pace, TellsAFleetThatMovesWithinFourSeconds) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    EXPECT_LT(play({300, 10.1}, 0, kPath, seed, milliseconds(3000)).oldest, 3600);
+  }
+}
+
+// A discovery whose answers the test decides, and a watch on it that runs beside. The fleet is so large that
+// a pause drawn over its size would show.
+class Script : public ::testing::TestWithParam<std::string> {
+ protected:
+  Script() { bind(); }
+  ~Script() override {
+    io_.stop();
+    if (runner_.joinable()) runner_.join();
+  }
+
+  void start() {
+    watch_ = std::make_unique<Watch>(
+        io_, net::parse_address("127.0.0.1:" + std::to_string(port_)), ListNames{},
+        [this] { return ++calls_; }, [this](const HostList& list) { told_ = list.revision; }, [] {},
+        Watch::Pace{1000, false, 43});
+    runner_ = std::thread([this] { io_.run(); });
+  }
+  void move(uint16_t port) {
+    boost::asio::post(io_, [this, port] { watch_->move({boost::asio::ip::address_v4::loopback(), port}); });
+  }
+
+  // Refuses connections until it listens.
+  void bind() {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socket_ = Socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    ASSERT_EQ(::bind(socket_.fd(), reinterpret_cast<const sockaddr*>(&at), sizeof at), 0);
+    port_ = socket_.port();
+  }
+  void listen(int backlog = 8) { ASSERT_EQ(::listen(socket_.fd(), backlog), 0); }
+  static Socket call(const Socket& listener) {
+    pollfd waiting{listener.fd(), POLLIN, 0};
+    if (::poll(&waiting, 1, kDeadlineMs) <= 0) throw std::runtime_error("no call came");
+    Socket out = listener.accept();
+    EXPECT_TRUE(read_request(out));
+    return out;
+  }
+  static void answer(const Socket& connection, int revision) {
+    const std::string line = testing::list_json(revision, true, {}).dump() + "\n";
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", line.size());
+    ASSERT_TRUE(connection.send(kHeader + size + line + "\r\n"));
+  }
+  static void wait_for(const std::atomic<int64_t>& what, int64_t value) {
+    const auto until = Clock::now() + milliseconds(kDeadlineMs);
+    while (what < value && Clock::now() < until) std::this_thread::sleep_for(milliseconds(5));
+    ASSERT_GE(what, value);
+  }
+
+  using Clock = std::chrono::steady_clock;
+  static inline const std::string kHeader = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  boost::asio::io_context io_;
+  Socket socket_;
+  uint16_t port_ = 0;
+  std::atomic<int64_t> calls_ = 0;  // that the watch began
+  std::atomic<int64_t> told_ = 0;
+  std::unique_ptr<Watch> watch_;
+  std::thread runner_;
+};
+
+using Call = Script;
+
+// Whatever becomes of a call, what discovery has is told within 6 s of that call's beginning.
+TEST_P(Call, IsMadeAgainInTime) {
+  const std::string& how = GetParam();
+  std::vector<Socket> held;
+  Clock::time_point since;
+  if (how == "Refused") {
+    start();
+    wait_for(calls_, 2);
+    since = Clock::now();
+    listen();
+  } else if (how == "ThatNeverComesUp") {
+    listen(0);
+    Socket in_the_way = Socket::connect(port_);  // the queue of those not accepted is full
+    start();
+    wait_for(calls_, 2);
+    since = Clock::now();
+    socket_.accept();
+  } else {
+    listen();
+    start();
+    held.push_back(call(socket_));
+    since = Clock::now();
+    const std::string half = "28\r\n{\"revision\":7,\"complete\":true,\"memb";
+    if (how == "Unavailable") held[0].send("HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n");
+    if (how == "Reset") held[0].reset();
+    if (how == "CutInTheHeader") held[0].send(kHeader.substr(0, 20)), held[0].close();
+    if (how == "CutAfterTheHeader") held[0].send(kHeader), held[0].close();
+    if (how == "CutInTheList") held[0].send(kHeader + half), held[0].close();
+    if (how == "SilentAfterTheHeader") held[0].send(kHeader);
+    if (how == "SilentInTheList") held[0].send(kHeader + half);
+    if (how == "SilentFromTheFirst") held[0].send("");
+  }
+  Socket next = call(socket_);
+  answer(next, 7);
+  wait_for(told_, 7);
+  EXPECT_LT(std::chrono::duration_cast<milliseconds>(Clock::now() - since).count(), 6000);
+}
+
+INSTANTIATE_TEST_SUITE_P(Failed, Call,
+                         ::testing::Values("Refused", "ThatNeverComesUp", "Unavailable", "Reset",
+                                           "CutInTheHeader", "CutAfterTheHeader", "CutInTheList",
+                                           "SilentAfterTheHeader", "SilentInTheList", "SilentFromTheFirst"),
+                         [](const auto& one) { return one.param; });
+
+// SIGHUP while a call is out: the new address is called within what is left of 4 s, what the old one still
+// says is heard, and its end changes nothing.
+TEST_F(Script, MovesWhileACallIsOut) {
+  listen();
+  start();
+  Socket old = call(socket_);
+  const uint16_t before = port_;
+  Socket first = std::move(socket_);
+  bind();
+  listen();
+  ASSERT_NE(port_, before);
+  const auto since = Clock::now();
+  move(port_);
+  answer(old, 8);
+  wait_for(told_, 8);
+  Socket next = call(socket_);
+  EXPECT_LT(std::chrono::duration_cast<milliseconds>(Clock::now() - since).count(), 4000);
+  old.reset();
+  answer(next, 9);
+  wait_for(told_, 9);
+}
+
+}  // namespace
+}  // namespace firspool::relay
