Clients: the key of a class in order is heeded, so that its messages go in turn

The word before the id in MSG.PUT is zeros for other classes and the message's key for this one (words logged).

Cause: Relay::put never set Arrival::key, and parse_put dropped the word: to the module, which keeps classes in order, each message was about nothing.

Customers.HaveMessagesOfOneKeyDeliveredInTurn fails without the line in Relay::put (seen).

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -59,6 +59,13 @@
   return value;
 }
 
+// What a message is about, from the command's key: sixteen hexadecimal digits, zeros for nothing.
+uint64_t about(const std::string& key) {
+  uint64_t out = 0;
+  const auto [end, error] = std::from_chars(key.data(), key.data() + key.size(), out, 16);
+  return error == std::errc() && end == key.data() + key.size() ? out : std::hash<std::string>{}(key);
+}
+
 std::string upper(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::toupper(c); });
   return text;
@@ -69,6 +76,7 @@
 Handed parse_put(const std::vector<std::string>& words) {
   if (words.size() != 5) throw std::invalid_argument("MSG.PUT takes a key, an id, a list and a body");
   Handed out;
+  out.about = about(words[1]);
   out.id = words[2];
   if (!is_name(out.id)) throw std::invalid_argument("unreadable id");
   out.destination = -1;
--- a/relay/message.h
+++ b/relay/message.h
@@ -17,6 +17,7 @@
   Time life = 0;  // how long it may still be delivered, when its last byte came
   std::string body;
   std::string tenant;  // whose share of the traffic it counts against; empty if none
+  uint64_t about = 0;  // for classes in order: messages of one number go in turn; 0: about nothing
 };
 
 struct Notice {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -613,6 +613,7 @@
   in.tenant = tenant_of(handed.tenant);
   in.due = steady_now() + handed.life - std::min(kTransit, handed.life);
   in.destination = handed.destination;
+  in.key = handed.about;
   numbers_[handed.id] = number;
   const int64_t rules = rules_now(handed.message_class);
   held_[number] = {std::move(handed), in.due, 0, false, rules};
--- a/tests/customers_test.cpp
+++ b/tests/customers_test.cpp
@@ -32,5 +32,30 @@
   EXPECT_EQ(client.line(), "-ERR unreadable class");
 }
 
+// The key of a class in order is the command's first word.
+TEST(Customers, HaveMessagesOfOneKeyDeliveredInTurn) {
+  Customer c;
+  c.config["settings"]["categories"][0]["in_order"] = true;
+  Program program(c.config);
+  program.start();
+  Socket client = program.client();
+  const auto put = [&](const std::string& id, const std::string& key) {
+    std::string bytes = put_bytes(id, "c=safe,d=60000,dest=7");
+    const std::string zeros(16, '0');
+    client.send(bytes.replace(bytes.find(zeros), zeros.size(), key));
+    EXPECT_EQ(client.line(), "+OK");
+  };
+  put("a1", "00008a60678a1f4b");
+  put("a2", "00008a60678a1f4b");
+  put("b1", "000e53ecdb549f89");
+  EXPECT_EQ(c.host.next().headers.at("x-call-id"), "a1");
+  Socket second = c.host.beside();
+  const auto other = read_request(second);
+  ASSERT_TRUE(other);
+  EXPECT_EQ(other->headers.at("x-call-id"), "b1");  // a2 was taken on before it
+  c.host.answer("200");
+  EXPECT_EQ(c.host.next().headers.at("x-call-id"), "a2");
+}
+
 }  // namespace
 }  // namespace firspool::testing
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -69,7 +69,8 @@
   Request next();  // the next call, on the connection that is open or on a new one
   void answer(const std::string& status, const std::string& headers = "");
   void raw(const std::string& bytes) { ASSERT_TRUE(connection_.send(bytes)); }
-  bool left() { return connection_.ended(); }  // waits until the caller has closed
+  Socket beside() { return listener_.accept(); }  // another connection, while the first one's call waits
+  bool left() { return connection_.ended(); }     // waits until the caller has closed
   void drop() { connection_.close(); }
   void reset() { connection_.reset(); }
   int connections() const { return connections_; }
