Hand-over: neither a signal nor a held-up process breaks it off

Seen: a new process that got a SIGHUP or SIGTERM while it waited for the next parcel listened on an address of its own (or, with a fixed one, would end as the old one still has it), and the clients that were given to it were closed (Handover.IsNotBrokenOffByASignal). The same where the old process was held up for 1.3 s between two steps, and the new one broke the way off (.WaitsForAProcessThatIsHeldUp). Where the new one was held up for as long, and clients with half a command of 50 kB filled the way, the old one closed the rest of them (.WaitsForANewProcessThatIsHeldUp).

Lines at fault: Handover::next (poll for 1 s, and -1 with EINTR taken for the other one's end) and set_up (SO_SNDTIMEO 1 s).

Ruled out with tests that pass on both: a request in the listener's queue and one on a resting connection while the old process is asked; SIGTERM to the new one before it has opened (asio runs the open timer before the signal's handler); the old one's death after the folder and after the calls; the new one's death with the folder: all is on the disk for the next start; SIGTERM to the old one whose call is never answered: it ends within kLastCall.

Change: parcels are waited for, and room on the way, for the 5 s that asking takes as well; a signal only interrupts the wait. A process that has stopped for good holds the other one up for that long, once.

--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -8,6 +8,7 @@
 #include <sys/un.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <cstddef>
@@ -24,9 +25,10 @@
 
 using Error = boost::system::error_code;
 
-constexpr auto kMostWait = std::chrono::seconds(5);  // for an owner that ends rather than hands over
+// For an owner that ends rather than hands over, and for either side that is held up: what the other one
+// drops then is its clients.
+constexpr auto kMostWait = std::chrono::seconds(5);
 constexpr auto kPoll = std::chrono::milliseconds(20);
-constexpr int kMostSilent = 1000;           // milliseconds between parcels that are waited for
 constexpr size_t kMostParcel = 320 * 1024;  // a client's bytes: one read beside a command not yet whole
 
 std::pair<sockaddr_un, socklen_t> local_address(const std::string& name) {
@@ -45,7 +47,7 @@
 
 void set_up(int socket) {
   const int bytes = kMostParcel;
-  const timeval most{1, 0};
+  const timeval most{kMostWait.count(), 0};
   ::setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
   ::setsockopt(socket, SOL_SOCKET, SO_SNDTIMEO, &most, sizeof most);
 }
@@ -92,9 +94,17 @@
   return false;
 }
 
+// A signal may come meanwhile: it is dealt with once the process has begun.
 std::optional<Parcel> Handover::next() {
+  using std::chrono::milliseconds;
+  const auto until = std::chrono::steady_clock::now() + kMostWait;
   pollfd waiting{before_.native_handle(), POLLIN, 0};
-  if (::poll(&waiting, 1, kMostSilent) <= 0) return {};
+  int ready = 0;
+  do {
+    const auto left = std::chrono::ceil<milliseconds>(until - std::chrono::steady_clock::now());
+    ready = ::poll(&waiting, 1, static_cast<int>(std::max(left, milliseconds(0)).count()));
+  } while (ready < 0 && errno == EINTR);
+  if (ready <= 0) return {};
   return receive(before_);
 }
 
--- a/relay/handover.h
+++ b/relay/handover.h
@@ -53,7 +53,8 @@
 
   bool taken_over() const { return before_.is_open(); }
 
-  // From the process before: the next parcel, at once or within a second; and all that come later.
+  // From the process before: the next parcel, waited for unless that process is gone or stalls; and all that
+  // come later.
   std::optional<Parcel> next();
   void hear(Heard heard) { listen_to(before_, std::move(heard)); }
   bool tell_before(Parcel::Kind kind, const std::string& text) { return send(before_, kind, text, -1); }
--- /dev/null
+++ b/tests/handover_test.cpp
@@ -0,0 +1,357 @@
+// A new version under load: what crosses each step of the way from the old process to the new one. The test
+// plays one of the two, with the program's own half of the protocol, where an order has to be forced.
+#include "relay/handover.h"
+
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+
+#include <boost/asio/io_context.hpp>
+#include <csignal>
+#include <cstddef>
+#include <cstring>
+#include <future>
+
+#include "peers.h"
+#include "relay/config.h"
+#include "relay/journal.h"
+#include "relay/relay.h"
+
+namespace firspool::testing {
+namespace {
+
+using relay::Handover;
+using relay::Journal;
+using relay::Parcel;
+
+constexpr size_t kDisk = 3'000'000;
+
+std::string facts(const std::string& message_class, int destination = 7, int life_ms = 60'000) {
+  return "c=" + message_class + ",d=" + std::to_string(life_ms) +
+         ",k=5c0f6e1a2b3d4c59,dest=" + std::to_string(destination);
+}
+
+std::string id_of(const Request& call) { return call.headers.at("x-call-id"); }
+nlohmann::json failed(const std::string& id) { return {{"id", id}, {"state", "failed"}}; }
+
+struct Side {
+  Host host;
+  Discovery discovery;
+  nlohmann::json config =
+      config_json(discovery.address(),
+                  {member_json("s-1", host.address(), 7), member_json("s-0", host.address(), 99, "leaving")});
+  std::optional<Program> program;  // the old one, or the only one
+  std::optional<Program> next;
+
+  void start() {
+    program.emplace(config);
+    program->start();
+  }
+  std::string put(const std::string& id, const std::string& what) {
+    Socket client = program->client();
+    client.send(put_bytes(id, what));
+    return client.line();
+  }
+};
+
+// The process before, played by the test: what it gives it gives when the test says so.
+struct Before {
+  boost::asio::io_context io;
+  Handover handover;
+  bool asked = false;
+  Socket listener = Socket::listen();
+
+  explicit Before(const std::filesystem::path& folder) : handover(io, folder) {
+    handover.offer([this] { asked = true; });
+  }
+  void await_asked() {
+    while (!asked && io.run_one_for(std::chrono::milliseconds(kDeadlineMs)) > 0) continue;
+    ASSERT_TRUE(asked);
+  }
+  void give_call(const std::string& id, int attempt) {
+    const nlohmann::json call = {
+        {"host", "s-1"}, {"since", relay::steady_now()}, {"messages", {{id, attempt}}}};
+    EXPECT_TRUE(handover.give(Parcel::kCall, call.dump()));
+  }
+  void give_listener() { EXPECT_TRUE(handover.give(Parcel::kListener, "", listener.fd())); }
+  // One that was connected to it; its other end.
+  Socket give_client() {
+    Socket out = Socket::connect(listener.port());
+    const Socket here = listener.accept();
+    const nlohmann::json state = {
+        {"since", relay::steady_now()}, {"came", relay::steady_now()}, {"began", 0}, {"spoke", true}};
+    EXPECT_TRUE(handover.give(Parcel::kClient, state.dump() + "\n", here.fd()));
+    return out;
+  }
+};
+
+// Starts while the test plays the process before it.
+std::future<void> begin(Program& program) {
+  return std::async(std::launch::async, [&program] { program.start(); });
+}
+
+std::string ping(Socket& client) {
+  client.send("*1\r\n$4\r\nPING\r\n");
+  return client.line();
+}
+
+// Asks as a new process does, and takes what it is given.
+class Asker {
+ public:
+  explicit Asker(const std::filesystem::path& folder) {
+    struct stat about {};
+    EXPECT_EQ(::stat((folder / "lock").c_str(), &about), 0);
+    const std::string name =
+        "umberhoist-" + std::to_string(about.st_dev) + "-" + std::to_string(about.st_ino);
+    sockaddr_un address{};
+    address.sun_family = AF_UNIX;
+    name.copy(address.sun_path + 1, sizeof address.sun_path - 1);
+    socket_ = Socket(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
+    const timeval most{kDeadlineMs / 1000, 0};
+    ::setsockopt(socket_.fd(), SOL_SOCKET, SO_RCVTIMEO, &most, sizeof most);
+    const auto size = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + name.size());
+    EXPECT_EQ(::connect(socket_.fd(), reinterpret_cast<const sockaddr*>(&address), size), 0);
+  }
+  // Kind 0: the other one is gone, or says nothing.
+  Parcel next() {
+    std::string bytes(400'000, '\0');
+    iovec part{bytes.data(), bytes.size()};
+    alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))] = {};
+    msghdr message{};
+    message.msg_iov = &part;
+    message.msg_iovlen = 1;
+    message.msg_control = control;
+    message.msg_controllen = sizeof control;
+    const ssize_t got = ::recvmsg(socket_.fd(), &message, MSG_CMSG_CLOEXEC);
+    Parcel out{static_cast<Parcel::Kind>(0), "", relay::Descriptor()};
+    if (got <= 0) return out;
+    out.kind = static_cast<Parcel::Kind>(bytes[0]);
+    out.text = bytes.substr(1, static_cast<size_t>(got) - 1);
+    if (const cmsghdr* head = CMSG_FIRSTHDR(&message); head != nullptr) {
+      int fd = -1;
+      std::memcpy(&fd, CMSG_DATA(head), sizeof fd);
+      out.descriptor = relay::Descriptor(fd);
+    }
+    return out;
+  }
+  void leave() { socket_.close(); }
+
+ private:
+  Socket socket_;
+};
+
+// ---- Ask, folder, calls, listener: either side is held up, is told something, or dies ----
+
+// Clients and calls of a process that is slow are not given up.
+TEST(Handover, WaitsForAProcessThatIsHeldUp) {
+  Side s;
+  Program next(s.config);
+  Before before(next.state());
+  auto started = begin(next);
+  before.await_asked();
+  std::this_thread::sleep_for(std::chrono::milliseconds(1300));
+  ASSERT_TRUE(before.handover.give_folder());
+  std::this_thread::sleep_for(std::chrono::milliseconds(1300));
+  before.give_listener();
+  Socket client = before.give_client();
+  started.get();
+  EXPECT_EQ(next.port(), before.listener.port());
+  EXPECT_EQ(ping(client), "+PONG");
+}
+
+// Nor those of one that is quick, where the new one is: what it has not read yet waits for it.
+TEST(Handover, WaitsForANewProcessThatIsHeldUp) {
+  Side s;
+  s.start();
+  std::vector<Socket> clients;
+  for (int i = 0; i < 24; ++i) {  // more than the way between the two holds
+    clients.push_back(s.program->client());
+    ASSERT_EQ(ping(clients.back()), "+PONG");
+    const std::string begun = "*5\r\n$60000\r\n" + std::string(50'000, 'x');
+    ASSERT_TRUE(clients.back().send(begun));
+  }
+  Asker next(s.program->state());
+  ASSERT_EQ(next.next().kind, Parcel::kFolder);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1300));
+  ASSERT_EQ(next.next().kind, Parcel::kListener);
+  for (size_t i = 0; i < clients.size(); ++i) ASSERT_EQ(next.next().kind, Parcel::kClient) << i;
+  EXPECT_EQ(s.program->wait(), 0);
+}
+
+TEST(Handover, IsNotBrokenOffByASignal) {
+  Side s;
+  Program next(s.config);
+  Before before(next.state());
+  auto started = begin(next);
+  before.await_asked();
+  ASSERT_TRUE(before.handover.give_folder());
+  for (int i = 0; i < 20; ++i) {  // one of them comes while it waits for the next parcel
+    next.signal(SIGHUP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  before.give_listener();
+  Socket client = before.give_client();
+  started.get();
+  EXPECT_EQ(next.port(), before.listener.port());
+  EXPECT_EQ(ping(client), "+PONG");
+}
+
+// Told to end before it has begun: what clients have handed over with them is still answered, and tried.
+TEST(Handover, ServesTheClientsOfAProcessThatEndsBeforeItHasOpened) {
+  Side s;
+  Program next(s.config);
+  Before before(next.state());
+  auto started = begin(next);
+  before.await_asked();
+  ASSERT_TRUE(before.handover.give_folder());
+  next.signal(SIGTERM);
+  before.give_listener();
+  Socket client = before.give_client();
+  client.send(put_bytes("m-1", facts("safe")));
+  started.get();
+  EXPECT_EQ(client.line(), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "m-1");
+  s.host.answer("200");
+  EXPECT_TRUE(client.ended());
+  EXPECT_EQ(next.wait(), 0);
+}
+
+TEST(Handover, ServesWhereTheProcessBeforeDiesHalfWay) {
+  for (const bool told : {false, true}) {
+    Side s;
+    Program next(s.config);
+    {
+      Journal journal(next.state(), kDisk);
+      const auto due = relay::wall_now() + 60'000'000;
+      ASSERT_TRUE(journal.accepted({"m-out", "unsafe", "", 7, 0, "body", ""}, due));
+      ASSERT_TRUE(journal.attempt("m-out", 0, relay::wall_now(), 0));
+      ASSERT_TRUE(journal.accepted({"m-held", "unsafe", "", 7, 0, "body", ""}, due));
+    }
+    std::optional<Before> before(next.state());
+    auto started = begin(next);
+    before->await_asked();
+    ASSERT_TRUE(before->handover.give_folder());
+    if (told) before->give_call("m-out", 0);
+    before.reset();
+    started.get();
+    EXPECT_EQ(s.discovery.notice(), failed("m-out"));
+    EXPECT_EQ(id_of(s.host.next()), "m-held");
+    s.host.answer("200");
+    Socket client = next.client();
+    EXPECT_EQ(ping(client), "+PONG");
+  }
+}
+
+// The old one has nothing left that it could serve: it ends, and all is on the disk for the next start.
+TEST(Handover, LeavesAllOnTheDiskWhereTheNewProcessDies) {
+  for (const bool read : {false, true}) {
+    Side s;
+    s.start();
+    EXPECT_EQ(s.put("m-held", facts("safe", 99)), "+OK");
+    EXPECT_EQ(s.put("m-out", facts("unsafe")), "+OK");
+    EXPECT_EQ(id_of(s.host.next()), "m-out");
+    Asker next(s.program->state());
+    ASSERT_EQ(next.next().kind, Parcel::kFolder);  // its right to the folder ends with it
+    if (read) {
+      ASSERT_EQ(next.next().kind, Parcel::kCall);
+      ASSERT_EQ(next.next().kind, Parcel::kListener);
+    }
+    next.leave();
+    s.host.answer("200");
+    EXPECT_EQ(s.program->wait(), 0);
+    s.host.drop();
+    s.program->start();
+    EXPECT_EQ(s.discovery.notice(), failed("m-out"));  // it may have run
+    s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 99)}));
+    EXPECT_EQ(id_of(s.host.next()), "m-held");
+    s.host.answer("200");
+  }
+}
+
+TEST(Handover, AnswersARequestThatCameWhileTheOldProcessWasAsked) {
+  Side s;
+  s.start();
+  Socket kept = s.program->client();
+  EXPECT_EQ(ping(kept), "+PONG");
+  s.program->signal(SIGSTOP);
+  kept.send(put_bytes("m-1", facts("safe")));
+  Socket fresh = s.program->client();  // in the queue of the listener
+  fresh.send(put_bytes("m-2", facts("safe", 99)));
+  s.next.emplace(s.config);
+  s.next->succeed(*s.program);
+  auto started = begin(*s.next);
+  s.program->signal(SIGCONT);
+  started.get();
+  EXPECT_EQ(kept.line(), "+OK");
+  EXPECT_EQ(fresh.line(), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "m-1");
+  s.host.answer("200");
+  EXPECT_EQ(s.program->wait(), 0);
+}
+
+// ---- Clients, ends ----
+
+TEST(Handover, EndsByItselfAfterSigtermThoughACallIsNeverAnswered) {
+  Side s;
+  s.start();
+  EXPECT_EQ(s.put("m-1", facts("unsafe")), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "m-1");
+  s.next.emplace(s.config);
+  s.next->succeed(*s.program);
+  s.next->start();
+  s.program->signal(SIGTERM);
+  EXPECT_EQ(s.program->wait(), 0);
+  EXPECT_EQ(s.discovery.notice(), failed("m-1"));
+}
+
+// ---- A new process is asked before it has opened itself ----
+
+// The relay itself, in the test: its events run when the test says so.
+struct Inside {
+  boost::asio::io_context io;
+  std::optional<relay::Relay> relay;
+  std::promise<uint16_t> port;
+  std::thread thread;
+
+  void create(const nlohmann::json& config, const std::filesystem::path& folder) {
+    relay.emplace(io, relay::parse_config(config.dump(), folder.string()),
+                  [this](const auto& address) { port.set_value(address.port()); });
+  }
+  void run() {
+    thread = std::thread([this] { io.run(); });
+  }
+  ~Inside() {
+    io.stop();
+    if (thread.joinable()) thread.join();
+  }
+};
+
+struct Folder {
+  std::filesystem::path path;
+  Folder() {
+    std::string pattern = std::filesystem::temp_directory_path() / "umberhoist-handover-XXXXXX";
+    path = ::mkdtemp(pattern.data());
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+};
+
+// ---- What cannot be handed over ----
+
+class FullDisk {  // while it stands the process's files cannot grow beyond a size
+ public:
+  explicit FullDisk(size_t size) {
+    std::signal(SIGXFSZ, SIG_IGN);
+    ::getrlimit(RLIMIT_FSIZE, &before_);
+    const rlimit limit{size, before_.rlim_max};
+    ::setrlimit(RLIMIT_FSIZE, &limit);
+  }
+  ~FullDisk() { ::setrlimit(RLIMIT_FSIZE, &before_); }
+
+ private:
+  rlimit before_{};
+};
+
+}  // namespace
+}  // namespace firspool::testing
