Hand-over: a process in the middle passes on what it has not used

Seen: three processes, the second one asked by the third before its first event. It gave no listener on (the third ends where the address is fixed: it is in use until the second ends), never heard the end of a call that the first had out, so that the third waited for it without end and the second never ended, and closed a client of the first's (Handover.GoesOnThroughAProcessThatHadNotOpened; the relay runs in the test, so that the order can be forced). A client that the first one was still answering, and that came when the second had handed over, was closed (.PassesOnAClientThatComesLate). Both seen failing before.

Lines at fault: Relay::hand_over (the listener of clients_ alone; the process before is heard from open() on only) and Relay::heard_before (kClient dropped once handed_over_).

Change: hand_over gives on the listener that it was given, and hears the process before; heard_before gives clients on.

Not changed: a cancel of the third's for a call that the first has out stops at the second; the call ends by its time-out.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -488,7 +488,9 @@
       const std::string id = away_.begin()->first;
       away_ended(id, lost, true);
     }
-  } else if (parcel->kind == Parcel::kClient && !handed_over_) {
+  } else if (parcel->kind == Parcel::kClient && handed_over_) {
+    handover_.give(Parcel::kClient, parcel->text, parcel->descriptor.get());
+  } else if (parcel->kind == Parcel::kClient) {
     clients_->adopt(parcel->text, parcel->descriptor.release());
   } else if (parcel->kind == Parcel::kEnded) {
     const auto told = nlohmann::json::parse(parcel->text);
@@ -551,12 +553,16 @@
     tell(call.endpoint, call.since, messages);
   }
   for (const auto& [id, away] : away_) tell(away.call.endpoint, away.call.sent, {{id, away.attempt}});
-  const int listener = clients_ ? clients_->listener() : -1;
-  handover_.give(Parcel::kListener, listener < 0 ? "" : net::text_of(clients_->address()), listener);
+  const int listener = clients_ ? clients_->listener() : listener_.get();
+  handover_.give(Parcel::kListener,
+                 listener < 0 ? "" : net::text_of(clients_ ? clients_->address() : config_.listen), listener);
   if (clients_) {
     clients_->hand_over([this](const std::string& state, int descriptor) {
       handover_.give(Parcel::kClient, state, descriptor);
     });
+  } else {  // asked before it has opened: what the process before has to tell still passes through
+    handover_.hear([this](std::optional<Parcel> parcel) { heard_before(std::move(parcel)); });
+    listener_ = Descriptor();
   }
   handover_.hear_successor([this](std::optional<Parcel> parcel) {
     if (!parcel || parcel->kind != Parcel::kCancel) return;
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -306,6 +306,34 @@
   EXPECT_EQ(s.discovery.notice(), failed("m-1"));
 }
 
+// A client that the process before was still answering comes when the new one has given all away itself.
+TEST(Handover, PassesOnAClientThatComesLate) {
+  Side s;
+  Program middle(s.config);
+  Before before(middle.state());
+  auto started = begin(middle);
+  before.await_asked();
+  ASSERT_TRUE(before.handover.give_folder());
+  before.give_call("m-none", 0);  // of no message that is left
+  before.give_listener();
+  started.get();
+  Socket held = middle.client();
+  held.send(put_bytes("m-1", facts("unsafe")));
+  EXPECT_EQ(held.line(), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "m-1");  // while it is out the process in the middle goes on
+  Asker last(middle.state());
+  ASSERT_EQ(last.next().kind, Parcel::kFolder);
+  ASSERT_EQ(last.next().kind, Parcel::kCall);
+  ASSERT_EQ(last.next().kind, Parcel::kListener);
+  ASSERT_EQ(last.next().kind, Parcel::kClient);
+  const Socket late = before.give_client();
+  const Parcel passed = last.next();
+  EXPECT_EQ(passed.kind, Parcel::kClient);
+  EXPECT_GE(passed.descriptor.get(), 0);
+  s.host.answer("200");
+  EXPECT_EQ(last.next().kind, Parcel::kEnded);
+}
+
 // ---- A new process is asked before it has opened itself ----
 
 // The relay itself, in the test: its events run when the test says so.
@@ -337,6 +365,44 @@
   ~Folder() { std::filesystem::remove_all(path); }
 };
 
+TEST(Handover, GoesOnThroughAProcessThatHadNotOpened) {
+  Side s;
+  const Folder folder;
+  {
+    Journal journal(folder.path, kDisk);
+    const auto due = relay::wall_now() + 60'000'000;
+    ASSERT_TRUE(journal.accepted({"m-out", "unsafe", "", 7, 0, "body", ""}, due));
+    ASSERT_TRUE(journal.attempt("m-out", 0, relay::wall_now(), 0));
+  }
+  Before before(folder.path);
+  Inside middle;
+  auto created = std::async(std::launch::async, [&] { middle.create(s.config, folder.path); });
+  before.await_asked();
+  ASSERT_TRUE(before.handover.give_folder());
+  before.give_call("m-out", 0);
+  before.give_listener();
+  created.get();
+  Asker last(folder.path);  // is there before the first event of the one in the middle
+  const Socket late = before.give_client();
+  middle.run();
+  ASSERT_EQ(last.next().kind, Parcel::kFolder);
+  const Parcel call = last.next();
+  ASSERT_EQ(call.kind, Parcel::kCall);
+  EXPECT_EQ(nlohmann::json::parse(call.text).at("messages"), nlohmann::json({{"m-out", 0}}));
+  const Parcel listener = last.next();
+  ASSERT_EQ(listener.kind, Parcel::kListener);
+  EXPECT_GE(listener.descriptor.get(), 0);
+  const Parcel client = last.next();
+  EXPECT_EQ(client.kind, Parcel::kClient);
+  EXPECT_GE(client.descriptor.get(), 0);
+  const nlohmann::json ended = {{"id", "m-out"}, {"outcome", 0}, {"final", true},
+                                {"took", 1},     {"wait", 0},    {"report", nlohmann::json::array()},
+                                {"began", true}};
+  EXPECT_TRUE(before.handover.give(Parcel::kEnded, ended.dump()));
+  EXPECT_EQ(last.next().kind, Parcel::kEnded);
+  EXPECT_EQ(last.next().kind, 0);  // it has ended
+}
+
 // ---- What cannot be handed over ----
 
 class FullDisk {  // while it stands the process's files cannot grow beyond a size
