Hand-over: a client that comes to a process that is ending is served

Seen: a new process got SIGTERM and had shut its door when the process before gave it a client that it had still been answering: it ended with status 1 ("local_endpoint: Bad file descriptor"), and with it whatever it had out (Handover.ServesAClientThatComesWhenItsDoorIsShut, seen failing before).

Line at fault: Clients::adopt, address().protocol() of an acceptor that finish() has closed.

Change: the protocol is kept from the start. The client's request is answered, as any that comes in the drain.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -333,7 +333,13 @@
 };
 
 Clients::Clients(boost::asio::io_context& io, const tcp::endpoint& listen, size_t most, Put put, int listener)
-    : io_(io), acceptor_(io), pause_(io), sweeper_(io), most_(most), put_(std::move(put)) {
+    : io_(io),
+      protocol_(listen.protocol()),
+      acceptor_(io),
+      pause_(io),
+      sweeper_(io),
+      most_(most),
+      put_(std::move(put)) {
   if (listener >= 0) {
     acceptor_.assign(listen.protocol(), listener);
   } else {
@@ -375,7 +381,7 @@
 }
 
 void Clients::adopt(const std::string& state, int descriptor) {
-  add(tcp::socket(io_, address().protocol(), descriptor))->adopt(state);
+  add(tcp::socket(io_, protocol_, descriptor))->adopt(state);
 }
 
 void Clients::hand_over(Give give) {
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -60,6 +60,7 @@
   void forget(std::list<std::shared_ptr<Session>>::iterator place);
 
   boost::asio::io_context& io_;
+  tcp protocol_;
   tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
   boost::asio::steady_timer sweeper_;
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -334,6 +334,36 @@
   EXPECT_EQ(last.next().kind, Parcel::kEnded);
 }
 
+TEST(Handover, ServesAClientThatComesWhenItsDoorIsShut) {
+  Side s;
+  Program next(s.config);
+  Before before(next.state());
+  auto started = begin(next);
+  before.await_asked();
+  ASSERT_TRUE(before.handover.give_folder());
+  before.give_listener();
+  started.get();
+  {
+    Socket client = next.client();
+    client.send(put_bytes("m-1", facts("unsafe")));
+    EXPECT_EQ(client.line(), "+OK");
+    EXPECT_EQ(id_of(s.host.next()), "m-1");  // while it is out the process goes on
+  }
+  Socket waiting = Socket::connect(before.listener.port());
+  const Socket later = before.listener.accept();  // as the process before has it still
+  ASSERT_TRUE(later.open());
+  next.signal(SIGTERM);
+  Socket kept = next.client();
+  EXPECT_TRUE(kept.ended());  // from then on it takes nobody
+  const nlohmann::json state = {
+      {"since", relay::steady_now()}, {"came", relay::steady_now()}, {"began", 0}, {"spoke", true}};
+  waiting.send(put_bytes("m-2", facts("safe", 99)));
+  EXPECT_TRUE(before.handover.give(Parcel::kClient, state.dump() + "\n", later.fd()));
+  EXPECT_EQ(waiting.line(), "+OK");
+  s.host.answer("200");
+  EXPECT_EQ(next.wait(), 0);
+}
+
 // ---- A new process is asked before it has opened itself ----
 
 // The relay itself, in the test: its events run when the test says so.
