Hand-over: a call that never began is no call of the process before

Seen: a message whose connection was still coming up at the hand-over was told as out (Exchange::out names all that is not over). The old process never starts it (may_start), but the new one waited for its end, and where the old one died first it took the message for one that may have run: an unsafe one was failed untried.

Lines at fault: Relay::resume (away_ was taken as it was told).

Change: an attempt without a record never began, as the record goes before the first byte; its message is tried like any other. Its end, when the old process tells it, is of no message.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -430,7 +430,11 @@
     in.destination = entry.message.destination;
     in.attempts = entry.attempts;
     auto unsettled = entry.unsettled;
-    const auto away = away_.find(entry.message.id);
+    auto away = away_.find(entry.message.id);
+    // What had no record yet never began, and the process before begins nothing any more.
+    if (away != away_.end() && !unsettled.contains(away->second.attempt)) {
+      away_.erase(std::exchange(away, away_.end()));
+    }
     if (away != away_.end()) {
       held.attempts = in.attempts = std::max(in.attempts, away->second.attempt + 1);
       unsettled.erase(away->second.attempt);  // its end is still to come
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -270,6 +270,26 @@
   }
 }
 
+// It may wait for a connection, or for its turn: the process before never starts it, and may die.
+TEST(Handover, TriesAtOnceWhatTheProcessBeforeHadNotBegun) {
+  Side s;
+  Program next(s.config);
+  {
+    Journal journal(next.state(), kDisk);
+    const auto due = relay::wall_now() + 60'000'000;
+    ASSERT_TRUE(journal.accepted({"m-1", "unsafe", "", 7, 0, "body", ""}, due));
+  }
+  Before before(next.state());
+  auto started = begin(next);
+  before.await_asked();
+  ASSERT_TRUE(before.handover.give_folder());
+  before.give_call("m-1", 0);
+  before.give_listener();
+  started.get();
+  EXPECT_EQ(id_of(s.host.next()), "m-1");
+  s.host.answer("200");
+}
+
 TEST(Handover, AnswersARequestThatCameWhileTheOldProcessWasAsked) {
   Side s;
   s.start();
