--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -209,6 +209,10 @@
   return true;
 }
 
-void Handover::withdraw() { offer(std::move(asked_)); }
+void Handover::withdraw() {
+  listener_.close();
+  after_.close();
+  offer(std::move(asked_));
+}
 
 }  // namespace firspool::relay
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -534,10 +534,10 @@
 void Relay::hand_over() {
   happened(Closing{steady_now()});
   step();
-  journal_.settle();
-  if (!handover_.give_folder()) {
+  // Without what the disk had no room for the next process would take messages up that have ended.
+  if (!journal_.settle() || !handover_.give_folder()) {
     handover_.withdraw();
-    return happened(Closing{std::numeric_limits<Time>::max()});
+    return happened(Closing{closing_at()});
   }
   handed_over_ = true;
   events_.clear();
@@ -961,10 +961,14 @@
   stopping_since_ = steady_now();
   net::log::info("stopping", "held", held_.size(), "handed_over", handed_over_ ? 1 : 0);
   if (handed_over_) return;  // it ends as soon as it can
-  happened(Closing{stopping_since_ + kLastCall});
+  happened(Closing{closing_at()});
   wait_for_end();
 }
 
+Time Relay::closing_at() const {
+  return stopping_since_ == 0 ? std::numeric_limits<Time>::max() : stopping_since_ + kLastCall;
+}
+
 void Relay::wait_for_end() {
   if (handed_over_ && upstream_.out() == 0 && away_.empty() && (!clients_ || clients_->answered())) {
     return io_.stop();
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -109,6 +109,7 @@
   void start_call(std::vector<Call> bundle);
   void finish(uint64_t number, std::optional<Notice> notice);
   void arm();
+  Time closing_at() const;
   void wait_for_end();
   std::pair<int, Endpoint> lane_of(const Member& member) const;
 
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -469,5 +469,47 @@
   rlimit before_{};
 };
 
+// The new process would read a journal that lacks what the disk had no room for.
+TEST(Handover, IsPutOffWhileTheJournalIsBehind) {
+  Side s;
+  const Folder folder;
+  Inside old;
+  old.create(s.config, folder.path);
+  old.run();
+  const uint16_t port = old.port.get_future().get();
+  Socket client = Socket::connect(port);
+  client.send(put_bytes("m-1", facts("safe", 99)));
+  EXPECT_EQ(client.line(), "+OK");
+  {
+    const FullDisk full(100);  // less than a new journal without what is over would take
+    client.send(put_bytes("m-2", facts("safe", 99)));
+    EXPECT_EQ(client.line(), "-BUSY 500");
+    EXPECT_EQ(Asker(folder.path).next().kind, 0);  // it is not given the folder
+    client.send(put_bytes("m-3", facts("safe", 99)));
+    EXPECT_EQ(client.line(), "-BUSY 500");  // and the old one goes on
+  }
+  Asker next(folder.path);
+  EXPECT_EQ(next.next().kind, Parcel::kFolder);
+}
+
+// One that ends soon still does, although somebody asked in vain.
+TEST(Handover, StartsNothingThatItsEndWouldCutOff) {
+  Side s;
+  s.config["control"] = "127.0.0.1:0";
+  s.start();
+  EXPECT_EQ(s.put("m-1", facts("unsafe", 99)), "+OK");
+  s.program->signal(SIGTERM);
+  while (s.program->operate("GET", "/v1/readyz").first == 200) continue;
+  s.program->signal(SIGSTOP);
+  Asker(s.program->state()).leave();
+  s.program->signal(SIGCONT);
+  std::this_thread::sleep_for(std::chrono::milliseconds(2300));
+  s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 99)}));
+  EXPECT_EQ(s.program->wait(), 0);
+  const Journal journal(s.program->state(), kDisk);
+  ASSERT_EQ(journal.recovered().size(), 1u);
+  EXPECT_EQ(journal.recovered()[0].attempts, 0);
+}
+
 }  // namespace
 }  // namespace firspool::testing
