Notices: one that a silent connection swallowed is sent again in 0.1 s, not 0.45 s

Change: the first request waits 100 ms, each further one twice as long, up to 400 ms as before; after silence the next goes at once on a new connection, as it has waited already; after a refusal the pause stays. A notice that comes twice does no harm. Each one not taken is a line in the log.

--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -22,7 +22,10 @@
 constexpr milliseconds kAfterMove{3000};
 constexpr milliseconds kLongestPushed{200};  // between calls to an agent that serves this relay only
 constexpr size_t kMostOld = 2;
-constexpr milliseconds kPostTimeout{400};  // the agent is on this machine and answers at once
+// Notices are answered at once, and each is due 0.3 s after its message's time: a connection that fell silent
+// has to be left well before. A platform that is slow is waited for longer with each try.
+constexpr milliseconds kPostTimeout{100};
+constexpr milliseconds kLongestPost{400};
 constexpr milliseconds kLongestPostPause{200};
 constexpr size_t kMostNotices = 200;  // in one request: well under the largest body
 
@@ -132,9 +135,11 @@
     request_.set(http::field::content_type, "application/x-ndjson");
     request_.body() = body;
     request_.prepare_payload();
-    timer_.expires_after(kPostTimeout);
+    timer_.expires_after(owner_->patience_);
     timer_.async_wait([self = shared_from_this()](const Error& error) {
-      if (!error) self->end(false);
+      if (error) return;
+      self->silent_ = true;
+      self->end(false);
     });
     if (socket_.is_open()) return write();
     socket_.async_connect(owner_->address_, [self = shared_from_this()](const Error& error) {
@@ -146,6 +151,7 @@
   }
 
   bool reusable() const { return reusable_; }
+  bool silent() const { return silent_; }  // it was not answered in time
 
   void close() {
     owner_ = nullptr;
@@ -179,10 +185,16 @@
   boost::beast::flat_buffer buffer_;
   http::response<http::string_body> answer_;
   bool reusable_ = false;
+  bool silent_ = false;
 };
 
 Notices::Notices(boost::asio::io_context& io, const tcp::endpoint& address, Sent sent)
-    : io_(io), address_(address), sent_(std::move(sent)), pause_(io), back_off_(kFirstPause) {}
+    : io_(io),
+      address_(address),
+      sent_(std::move(sent)),
+      pause_(io),
+      back_off_(kFirstPause),
+      patience_(kPostTimeout) {}
 
 Notices::~Notices() { close(); }
 
@@ -207,6 +219,7 @@
   out_ = 0;
   pause_.cancel();
   back_off_ = kFirstPause;
+  patience_ = kPostTimeout;
   proceed();
 }
 
@@ -224,6 +237,7 @@
 }
 
 void Notices::ended(bool taken) {
+  const bool silent = post_->silent();
   if (!post_->reusable()) {
     post_->close();
     post_.reset();
@@ -234,9 +248,15 @@
       queue_.pop_front();
     }
     back_off_ = kFirstPause;
+    patience_ = kPostTimeout;
     return proceed();
   }
+  net::log::info("notices_not_taken", "count", out_, "silent", silent ? 1 : 0);
   out_ = 0;
+  if (silent) {  // it has waited already: on a new connection at once
+    patience_ = std::min(2 * patience_, kLongestPost);
+    return proceed();
+  }
   pause_.expires_after(back_off_);
   back_off_ = std::min(2 * back_off_, kLongestPostPause);
   pause_.async_wait([this](const Error& error) {
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -93,6 +93,7 @@
   Sent sent_;
   boost::asio::steady_timer pause_;
   std::chrono::milliseconds back_off_;
+  std::chrono::milliseconds patience_;  // how long the next request may go without its answer
   std::deque<Notice> queue_;
   size_t out_ = 0;  // notices at the front that are out
   std::shared_ptr<Post> post_;
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -173,6 +173,11 @@
       }
       return;
     }
+    if (swallow_ > 0) {
+      --swallow_;
+      while (!over_ && !readable(connection.fd(), 50)) continue;
+      return;  // the relay has left it
+    }
     if (refuse_ > 0) {
       --refuse_;
       ++refused_;
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -92,7 +92,10 @@
   int watches() const { return watches_; }     // that were opened so far
   nlohmann::json notice();                     // the next one that was answered 204
   void refuse(int count) { refuse_ = count; }  // so many posts are answered 503 first
-  void mute() { mute_ = true; }                // watches get no answer, as while discovery is down
+  void swallow(int count) {
+    swallow_ = count;
+  }                              // so many are read and get no answer, with the connection open
+  void mute() { mute_ = true; }  // watches get no answer, as while discovery is down
   int refused() const { return refused_; }
 
  private:
@@ -105,6 +108,7 @@
   std::atomic<int> hushed_ = 0;
   std::atomic<int> refuse_ = 0;
   std::atomic<int> refused_ = 0;
+  std::atomic<int> swallow_ = 0;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::vector<std::string> told_;
