--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -5,9 +5,9 @@
 #include <cmath>
 #include <limits>
 #include <map>
-#include <optional>
 #include <set>
 #include <stdexcept>
+#include <tuple>
 #include <utility>
 
 namespace firspool {
@@ -22,8 +22,8 @@
 
 // Retry bucket: a served call earns a tenth, so repeats stay under a tenth when failures are common.
 constexpr int kToken = 10;  // in parts; a served call earns one
-// Full at the start: short troubles are ridden out by N retries. For each message of a bundle, as one refusal
-// turns all of them away.
+// Full at the start: N retries ride out short troubles. For each message of a bundle: all are refused at
+// once.
 constexpr int kBucketCap = 10 * kToken;
 constexpr Time kPauseLeast = 20 * kMs;  // a repeat's random pause: long enough to leave the moment of failure
 constexpr Time kPauseMost = 250 * kMs;
@@ -50,7 +50,6 @@
 constexpr int kDeadStreak = 3;   // so many failures in a row, over at least kDeadSpan, prove an outage
 constexpr int kAgainStreak = 2;  // and so many, after a return, that it was none
 constexpr Time kDeadSpan = 800 * kMs;
-constexpr int kShutStreak = 3;
 constexpr Time kShutSpan = 2500 * kMs;  // refusals alone must last longer: spans of a limit are shorter
 constexpr Time kAvoidLeast = kSecond;   // a failing endpoint is passed over for so long, doubled up to
 constexpr Time kAvoidMost = 8 * kSecond;
@@ -97,18 +96,14 @@
 double seconds(Time t) { return static_cast<double>(t) / 1e6; }
 Time micros(double s) { return static_cast<Time>(std::ceil(std::min(s, 1e9) * 1e6)); }
 
-class Random {  // splitmix64: the same numbers everywhere
- public:
-  explicit Random(uint64_t seed) : state_(seed) {}
+struct Random {  // splitmix64: the same numbers everywhere
+  uint64_t state;
   Time between(Time low, Time high) {
-    uint64_t z = (state_ += 0x9e3779b97f4a7c15u);
+    uint64_t z = (state += 0x9e3779b97f4a7c15u);
     z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
     z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
     return low + static_cast<Time>((z ^ (z >> 31)) % static_cast<uint64_t>(high - low + 1));
   }
-
- private:
-  uint64_t state_;
 };
 
 // Mean and mean deviation of the time that served calls take, in seconds.
@@ -142,12 +137,11 @@
   double tokens = 0;
   Time at = 0;
 
-  void refill(Time now, double rate, double burst) {
-    if (now <= at) return;  // it may be set to begin later
-    tokens = std::min(burst, tokens + rate * seconds(now - at));
-    at = now;
-  }
-  Time ready(Time now, double rate) const {
+  Time next(Time now, double rate, double burst) {  // when there is a whole one
+    if (now > at) {                                 // it may be set to begin later
+      tokens = std::min(burst, tokens + rate * seconds(now - at));
+      at = now;
+    }
     if (tokens >= 1) return now;
     return std::max(now, at) + std::max<Time>(1, micros((1 - tokens) / std::max(rate, 1e-6)));
   }
@@ -168,18 +162,14 @@
 };
 
 struct Message {
-  Arrival in;
-  std::shared_ptr<const ClassSettings> rules;  // as they were when it came
+  Arrival in;           // its attempts, and whether one may have run, are counted on
+  ClassSettings rules;  // as they were when it came
   int most_attempts = 0;
   Time target = 0;  // until then it earns its full worth
   double worth = 0;
-  int attempts = 0;
   bool out = false;
   bool repeat = false;  // the next send pays a token
   bool withdrawn = false;
-  bool ran = false;   // an attempt may have run
-  Time ran_sent = 0;  // when the first such attempt was sent
-  int ran_zone = 0;
   bool resumed_ran = false;  // it may have run before a restart
   Time not_before = 0;
 };
@@ -187,9 +177,8 @@
 // What the rules tie to a destination: all its endpoints, or one where routes are apart.
 using LaneKey = std::pair<int, Endpoint>;  // a destination; and an endpoint where routes are apart
 
-struct Lane {
+struct Lane : DestinationMemory {  // its wait, and its outage with the own served rate before it
   LaneKey key;
-  Time wait_until = 0;
   double limit = 0;   // calls a second from all relays together; 0: unknown or none
   double pace = 0;    // own sends a second at most; 0: never refused
   double paced = 0;   // pace that a served call restores: one cut below that before the refusals in a row
@@ -204,10 +193,7 @@
   int hard = 0;            // of these, failures rather than refusals
   bool slow = false;       // one of them took long
   Time streak_since = 0;   // when the first of them was sent
-  Time out_since = 0;      // 0: no outage
   bool suspected = false;  // the outage rests on overdue calls alone
-  Time back_since = 0;     // first served call after the outage; 0: still out
-  double base = 0;         // own served rate before it
   Pacer cold;
   int scouts = 0;                                            // out now
   Time last_served_sent = std::numeric_limits<Time>::min();  // when the youngest served call was sent
@@ -258,16 +244,14 @@
 
 class Policy::Impl {
  public:
-  Impl(Settings settings, uint64_t seed) : random_(seed) { take(std::move(settings)); }
+  Impl(Settings settings, uint64_t seed) : random_{seed} { take(std::move(settings)); }
 
   void step(Time now, std::span<const Event> events, std::vector<Action>& actions) {
     if (now < now_) throw std::invalid_argument("time goes back");
     if (started_ == kNever) started_ = keep_at_ = now;
     now_ = now;
     out_ = &actions;
-    for (const Event& event : events) {
-      std::visit([this](const auto& e) { fold(e); }, event);
-    }
+    for (const Event& event : events) std::visit([this](const auto& e) { fold(e); }, event);
     std::erase_if(key_rests_, [now](const auto& rest) { return rest.second.first <= now; });
     forget_gone();
     wake_ = kNever;
@@ -293,12 +277,8 @@
     if (settings.classes.empty()) throw std::invalid_argument("settings hold no class");
     if (settings.tenants != set_.tenants) tenant_pacers_.clear();
     set_ = std::move(settings);
-    classes_.clear();
     longest_ = kSecond;
-    for (const ClassSettings& c : set_.classes) {
-      classes_.push_back(std::make_shared<const ClassSettings>(c));
-      longest_ = std::max(longest_, c.give_up);
-    }
+    for (const ClassSettings& c : set_.classes) longest_ = std::max(longest_, c.give_up);
   }
 
   void fold(const SettingsChanged& e) {
@@ -306,7 +286,7 @@
     for (const auto& [endpoint, host] : hosts_) admit(Member(host.member));
   }
 
-  // ---- Health ----
+  // ---- Health, priors and connections ----
 
   void fold(const MembersChanged& e) {
     if (e.form == MembersChanged::Form::kFailed) {
@@ -353,7 +333,7 @@
     Host& host = found->second;
     host.suspended = e.out;
     if (e.out) {
-      host.base = pooled_rate(*host.lane) / static_cast<double>(ready_beside(host) + 1);
+      host.base = pooled_rate(*host.lane) / static_cast<double>(ready(*host.lane) + (host.ready ? 0 : 1));
     } else {
       host.back_since = now_;
       host.cold = {seconds(random_.between(0, kSecond)), now_};
@@ -362,14 +342,6 @@
     admit(Member(host.member));
   }
 
-  int ready_beside(const Host& host) {
-    int out = 0;
-    for (const auto& [endpoint, other] : by_destination_[host.member.destination]) {
-      out += other->lane == host.lane && other->ready && other != &host;
-    }
-    return out;
-  }
-
   // What is gone and has nothing out is of no use any more. Guards against growth: ids are ever new.
   void forget_gone() {
     std::erase_if(leaving_, [this](const Endpoint& endpoint) {
@@ -394,16 +366,13 @@
       throw std::invalid_argument("message " + std::to_string(e.id) + " came twice");
     Message& m = messages_[e.id];
     m.in = e;
-    m.rules = classes_[e.message_class];
+    m.rules = set_.classes[e.message_class];
     m.most_attempts = set_.max_attempts;
-    const ClassSettings& c = *m.rules;
+    const ClassSettings& c = m.rules;
     m.target = e.due - c.give_up + c.target;
     m.worth = c.worth * tenant_share(e.tenant);
-    m.attempts = e.attempts;
     m.repeat = e.attempts > 0;
-    m.ran = m.resumed_ran = e.ran;
-    m.ran_sent = e.ran_sent;
-    m.ran_zone = e.ran_zone;
+    m.resumed_ran = e.ran;
     if (c.in_order && e.key != 0) turns_[e.key].push_back(e.id);
     if (e.out) resume_out(m);
   }
@@ -420,7 +389,7 @@
     }
     m.out = true;
     m.repeat = false;
-    attempts_[{m.in.id, m.attempts - 1}] = {host.member.endpoint, m.in.out->sent, number};
+    attempts_[{m.in.id, m.in.attempts - 1}] = {host.member.endpoint, m.in.out->sent, number};
   }
 
   // What a tenant sends beyond its quota is worth little; this relay's part of it is taken as an even one.
@@ -428,12 +397,9 @@
     if (tenant < 0 || tenant >= static_cast<int>(set_.tenants.size())) return 1;
     const double quota = set_.tenants[tenant].quota_per_s / set_.relays;
     if (quota <= 0) return 1;
-    auto [it, fresh] = tenant_pacers_.try_emplace(tenant);
-    Pacer& pacer = it->second;
     const double burst = kQuotaSpan * quota + kQuotaChance * std::sqrt(kQuotaSpan * quota);
-    if (fresh) pacer = {burst, now_};
-    pacer.refill(now_, quota, std::max(1.0, burst));
-    if (pacer.tokens < 1) return set_.over_share_worth;
+    Pacer& pacer = tenant_pacers_.try_emplace(tenant, Pacer{burst, now_}).first->second;
+    if (pacer.next(now_, quota, std::max(1.0, burst)) > now_) return set_.over_share_worth;
     pacer.tokens -= 1;
     return 1;
   }
@@ -457,11 +423,7 @@
     const LaneKey key = {e.destination, Endpoint{}};
     Lane& l = lanes_[key];
     l.key = key;
-    l.wait_until = e.wait_until;
-    if (e.out_since == 0) return;
-    l.out_since = e.out_since;
-    l.back_since = e.back_since;
-    l.base = e.base;
+    static_cast<DestinationMemory&>(l) = e;
     l.cold = {0, now_};
     watch(l);
   }
@@ -507,27 +469,25 @@
     m.out = false;
     const bool hanging =
         e.outcome == Outcome::kTimeout || e.outcome == Outcome::kReset || e.outcome == Outcome::kCancelled;
-    if (m.rules->in_order && hanging) {
-      key_rests_[m.in.key] = {now_ + set_.order_pause, e.id};
-    }
+    if (m.rules.in_order && hanging) key_rests_[m.in.key] = {now_ + set_.order_pause, e.id};
     if (e.final || m.withdrawn) return end(e.id);
     if (e.outcome == Outcome::kMoot) return;
     m.repeat = true;
     m.not_before = now_ + random_.between(kPauseLeast, kPauseMost);
     const bool unseen = e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed;
-    if (unseen || m.ran) return;
-    m.ran = true;
-    m.ran_sent = attempt.sent;
-    m.ran_zone = host.member.zone;
+    if (unseen || m.in.ran) return;
+    m.in.ran = true;
+    m.in.ran_sent = attempt.sent;
+    m.in.ran_zone = host.member.zone;
   }
 
   void learn(const AttemptEnded& e, const Attempt& attempt, Host& host, Lane& l, Destination& d) {
     heed_report(e, l);
     learn_idle(e.outcome, attempt, host, l);
     // Slow or lost: whether calls past the suspicious age are served after all.
-    if (e.outcome == Outcome::kOk || e.outcome == Outcome::kTimeout) {
-      const bool overdue = e.took > latency_of(d).suspicious();
-      if (overdue) hope_ += 2 * kGain * ((e.outcome == Outcome::kOk ? 1 : 0) - hope_);
+    const bool told = e.outcome == Outcome::kOk || e.outcome == Outcome::kTimeout;
+    if (told && e.took > latency_of(d).suspicious()) {
+      hope_ += 2 * kGain * ((e.outcome == Outcome::kOk ? 1 : 0) - hope_);
     }
     switch (e.outcome) {
       case Outcome::kOk:
@@ -539,50 +499,52 @@
         host.avoid_until = 0;
         return served(attempt, l);
       case Outcome::kFull:
-        if (above_limit(e)) return hold_share(l);
+        // The report says that the limit is used up: that explains the refusal, and the limit tells the pace.
+        if (e.wait <= kShutSpan && reported(e.report, set_.report_limit, 0) > 0 &&
+            reported(e.report, set_.report_left, 1) < kRoomLow) {
+          l.pace = std::min(l.pace, kLimitCut * share(l));
+          return restart_pacer(l);
+        }
         narrow(attempt, l);
         return unserved(attempt, l, false, e.wait);
       case Outcome::kError:
       case Outcome::kReset:
       case Outcome::kTimeout:
       case Outcome::kConnectFailed:
-        // Lost answers are no sign of slowness: a time-out teaches only where overdue calls are served after
-        // all.
+        // Lost answers are no sign of slowness: a time-out teaches only where overdue calls are served.
         if (e.outcome == Outcome::kTimeout && hope_ > kHopeLeast && l.last_served_sent < attempt.sent) {
           learn_latency(d, e.took);
         }
-        if (e.outcome != Outcome::kError) avoid(host);
+        if (e.outcome != Outcome::kError) {
+          host.avoid_until = now_ + std::min(kAvoidMost, kAvoidLeast << std::min(host.fails++, 3));
+          host.conns = 0;
+        }
         return unserved(attempt, l, true, 0);
-      case Outcome::kCancelled:
-      case Outcome::kMoot:
-      case Outcome::kSpoilt:  // spoilt answers come from any host alike: no sign of its health
+      default:  // spoilt answers come from any host alike: no sign of its health
         return;
     }
   }
 
-  std::optional<double> reported(const std::vector<float>& report, int index) const {
-    if (index < 0 || static_cast<size_t>(index) >= report.size()) return {};
+  double reported(const std::vector<float>& report, int index, double none) const {
+    if (index < 0 || static_cast<size_t>(index) >= report.size()) return none;
     const float value = report[static_cast<size_t>(index)];
-    return std::isfinite(value) && value >= 0 ? std::optional<double>(value) : std::nullopt;
+    return std::isfinite(value) && value >= 0 ? value : none;
   }
 
   // A limit nearly used up makes its route dearer, so that routes with limits of their own are used evenly.
   void heed_report(const AttemptEnded& e, Lane& l) {
-    const auto limit = reported(e.report, set_.report_limit);
-    const double left = std::min(1.0, reported(e.report, set_.report_left).value_or(1));
-    if (limit && *limit == 0 && l.cut_at == 0) l.pace = 0;  // none
-    if (limit && *limit > 0) {
+    const double limit = reported(e.report, set_.report_limit, -1);
+    const double left = limit > 0 ? std::min(1.0, reported(e.report, set_.report_left, 1)) : 1;
+    if (limit == 0 && l.cut_at == 0) l.pace = 0;  // none
+    if (limit > 0) {
       l.told = true;
-      take_limit(l, *limit);
+      take_limit(l, limit);
       follow_room(l, left);
     }
     if (e.outcome != Outcome::kOk && e.outcome != Outcome::kFull) return;
-    const double served = limit && *limit > 0 ? left : 1;
-    l.room += 2 * kGain * ((e.outcome == Outcome::kOk ? served : 0) - l.room);
+    l.room += 2 * kGain * ((e.outcome == Outcome::kOk ? left : 0) - l.room);
   }
 
-  // ---- Priors and connections ----
-
   void learn_latency(Destination& d, Time took) {
     if (d.latency.seen == 0) {
       d.latency = kinds_[d.kind].latency;
@@ -632,12 +594,6 @@
     }
   }
 
-  void avoid(Host& host) {
-    host.avoid_until = now_ + std::min(kAvoidMost, kAvoidLeast << std::min(host.fails, 3));
-    ++host.fails;
-    host.conns = 0;
-  }
-
   void served(const Attempt& attempt, Lane& l) {
     l.last_served_sent = std::max(l.last_served_sent, attempt.sent);
     if (attempt.sent >= l.streak_since) {  // else it may have run before the first of them failed
@@ -705,40 +661,37 @@
       const Time suspicious = latency_of(destinations_[host.member.destination]).suspicious();
       Lane& l = *host.lane;
       if (l.served.at > attempt.sent) continue;
-      if (now_ - attempt.sent >= suspicious) {
-        ++overdue[&l];
-        watch(l);
-      } else {
-        wake(attempt.sent + suspicious);
-      }
+      wake(attempt.sent + suspicious);
+      if (now_ - attempt.sent < suspicious) continue;
+      ++overdue[&l];
+      watch(l);
     }
-    for (auto it = watched_.begin(); it != watched_.end();) {
-      Lane& l = *it->second;
-      if (l.out_since == 0 && l.streak == 0 && !overdue.contains(&l)) {
-        it = watched_.erase(it);
-        continue;
-      }
-      ++it;
+    std::erase_if(watched_, [&](const auto& entry) {
+      Lane& l = *entry.second;
+      const int late = overdue[&l];
       if (l.out_since != 0) {
-        if (l.back_since != 0 && now_ - l.back_since >= set_.cold) {
-          log(l, "warm");
-          l.out_since = 0;
-        }
-        continue;
+        if (l.back_since == 0 || now_ - l.back_since < set_.cold) return false;
+        log(l, "warm");
+        l.out_since = 0;
+        return false;
       }
       const Time span = now_ - l.streak_since;
       const bool dead = l.streak >= kDeadStreak && l.hard >= 2 && span >= kDeadSpan;
-      const bool shut = l.streak >= kShutStreak && span >= kShutSpan;
+      const bool shut = l.streak >= kDeadStreak && span >= kShutSpan;
       const bool lone = l.slow && crowd(pooled_rate(l));
-      const bool left = l.streak > 0 && !listed(l);
-      if (dead || shut) {
-        go_out(l, dead ? "calls fail" : "all refused", false);
-      } else if (lone || left) {
-        go_out(l, lone ? "a call got no answer" : "failed and left the list", false);
-      } else if (const auto late = overdue.find(&l); late != overdue.end() && late->second >= kOverdue) {
-        go_out(l, "calls overdue", true);
+      const bool left = l.streak > 0 && ready(l) == 0;
+      const bool failed = dead || shut || lone || left;
+      if (failed || late >= kOverdue) {
+        go_out(l,
+               dead   ? "calls fail"
+               : shut ? "all refused"
+               : lone ? "a call got no answer"
+               : left ? "failed and left the list"
+                      : "calls overdue",
+               !failed);
       }
-    }
+      return l.streak == 0 && late == 0;
+    });
   }
 
   // ---- Guards ----
@@ -777,8 +730,7 @@
     l.moved_at = now_;
   }
 
-  // What is left of the limit is news of all relays. By time, so that they move alike however often they
-  // call.
+  // What is left of the limit is news of all relays. By time: they move alike however often they call.
   void follow_room(Lane& l, double left) {
     const double past = std::min(kRegainMost, seconds(now_ - l.moved_at));
     l.moved_at = now_;
@@ -789,25 +741,13 @@
     l.pace = std::min(l.pace, kShareMost * share(l));
   }
 
-  // The report says that the limit is used up: that explains the refusal, and the limit tells the pace.
-  bool above_limit(const AttemptEnded& e) const {
-    return e.wait <= kShutSpan && reported(e.report, set_.report_limit).value_or(0) > 0 &&
-           reported(e.report, set_.report_left).value_or(1) < kRoomLow;
-  }
-
-  void hold_share(Lane& l) {
-    l.pace = std::min(l.pace, kLimitCut * share(l));
-    restart_pacer(l);
-  }
-
   // At random, so that relays turned away together do not come back together, nor at the end of a told wait.
   void restart_pacer(Lane& l) {
     l.moved_at = now_;
     l.pacer = {0.5 - seconds(random_.between(0, kSecond)), std::max(now_, l.wait_until)};
   }
 
-  // Refused for want of capacity, or above a limit that is not told: send slower, from the own demand seen,
-  // and slower again with each refusal in a row.
+  // Refused for want of capacity or above an untold limit: slower than the own demand, and again each time.
   void narrow(const Attempt& attempt, Lane& l) {
     if (attempt.sent < l.cut_at) return;
     const bool fresh = l.pace == 0 || l.streak == 0;
@@ -824,14 +764,14 @@
   // An outage that rests on suspicion alone is not worth keeping.
   void remember() {
     for (auto& [number, d] : destinations_) {
-      DestinationMemory next{number, d.tokens - d.tokens % kToken};
-      const auto lane = lanes_.find({number, Endpoint{}});
-      if (lane != lanes_.end() && lane->second.wait_until > now_) next.wait_until = lane->second.wait_until;
-      if (lane != lanes_.end() && lane->second.out_since != 0 && !lane->second.suspected) {
-        next.out_since = lane->second.out_since;
-        next.back_since = lane->second.back_since;
-        next.base = lane->second.base;
+      DestinationMemory next;
+      if (const auto lane = lanes_.find({number, Endpoint{}}); lane != lanes_.end()) {
+        const Lane& l = lane->second;
+        if (l.out_since != 0 && !l.suspected) next = l;
+        next.wait_until = l.wait_until > now_ ? l.wait_until : 0;
       }
+      next.destination = number;
+      next.tokens = d.tokens - d.tokens % kToken;
       if (next == d.remembered) continue;
       d.remembered = next;
       out_->push_back(Remember{next});
@@ -846,10 +786,10 @@
     return set_.relays > budget + 2 * std::sqrt(budget) + 2;
   }
 
-  bool listed(const Lane& l) const {
+  ptrdiff_t ready(const Lane& l) const {
     const auto& hosts = by_destination_.at(l.key.first);
-    return std::any_of(hosts.begin(), hosts.end(),
-                       [&l](const auto& entry) { return entry.second->ready && entry.second->lane == &l; });
+    return std::count_if(hosts.begin(), hosts.end(),
+                         [&l](const auto& entry) { return entry.second->ready && entry.second->lane == &l; });
   }
 
   // Share of the relays that were handed a message for the lane in the outage, and so know of it.
@@ -873,9 +813,7 @@
   Time admits(Host& host) {
     if (host.back_since != 0 && now_ - host.back_since >= set_.cold) host.back_since = 0;
     if (host.back_since == 0) return now_;
-    const double rate = cold_rate(host);
-    host.cold.refill(now_, rate, 1);
-    return host.cold.tokens >= 1 ? now_ : std::min(host.cold.ready(now_, rate), now_ + kSecond);
+    return std::min(host.cold.next(now_, cold_rate(host), 1), now_ + kSecond);
   }
 
   // Own part of what a cold destination takes, beside the first calls of the relays that know of no outage.
@@ -900,24 +838,15 @@
     if (l.out_since != 0) {
       // Without an answer to the last scout another tells little, and would fill the slots.
       if (l.back_since == 0 && l.scouts > 0) return kNever;
-      const double rate = l.back_since == 0 ? scout_rate(l) : cold_rate(l);
-      l.cold.refill(now_, rate, 1);
-      if (l.cold.tokens < 1) return std::min(l.cold.ready(now_, rate), now_ + kSecond);
-    }
-    if (l.pace > 0) {
-      const bool old = l.told && now_ > m.target - micros((1 - kOld) * seconds(m.rules->target));
-      const double pace = old ? std::min(l.pace, (kShareOld + kShareRoom * l.left) * share(l)) : l.pace;
-      l.pacer.refill(now_, pace, std::max(1.0, kLimitBurst * l.pace));
-      if (l.pacer.tokens < 1) {
-        l.bound = true;
-        return l.pacer.ready(now_, pace);
-      }
+      const Time at = l.cold.next(now_, l.back_since == 0 ? scout_rate(l) : cold_rate(l), 1);
+      if (at > now_) return std::min(at, now_ + kSecond);
     }
-    return now_;
-  }
-
-  void charge(Lane& l) {
-    if (l.pace > 0) l.pacer.tokens -= 1;
+    if (l.pace <= 0) return now_;
+    const bool old = l.told && now_ > m.target - micros((1 - kOld) * seconds(m.rules.target));
+    const double pace = old ? std::min(l.pace, (kShareOld + kShareRoom * l.left) * share(l)) : l.pace;
+    const Time at = l.pacer.next(now_, pace, std::max(1.0, kLimitBurst * l.pace));
+    l.bound = l.bound || at > now_;
+    return at;
   }
 
   // Where probes are allowed one goes ahead of each scout: it costs no token, and no message that a hang
@@ -929,7 +858,7 @@
       out_->push_back(Probe{host.member.endpoint});
       l.probe_out = host.probe_out = true;
       l.cold.tokens -= 1;
-      charge(l);
+      l.pacer.tokens -= 1;
     }
     return false;
   }
@@ -940,7 +869,7 @@
     const auto it = messages_.find(id);
     if (it == messages_.end()) return;
     const Arrival& in = it->second.in;
-    if (it->second.rules->in_order && in.key != 0) {
+    if (it->second.rules.in_order && in.key != 0) {
       std::erase(turns_[in.key], id);
       if (turns_[in.key].empty()) turns_.erase(in.key);
     }
@@ -948,35 +877,33 @@
   }
 
   bool refusable(const Message& m) const {
-    const ClassSettings& c = *m.rules;
-    if (c.effect == Effect::kSafe || !m.ran) return true;
+    const ClassSettings& c = m.rules;
+    if (c.effect == Effect::kSafe || !m.in.ran) return true;
     if (m.resumed_ran) return false;  // its outcome is lost: a client's retry might outlast the key
     return c.effect == Effect::kKeyed && c.key_scope == KeyScope::kAll;
   }
 
   // Whether another attempt may ever be made.
   bool hopeless(const Message& m) const {
-    const ClassSettings& c = *m.rules;
+    const ClassSettings& c = m.rules;
     const bool closed = c.effect == Effect::kKeyed && now_ >= window_end(m);
-    return m.attempts >= m.most_attempts || (m.ran && (c.effect == Effect::kUnsafe || closed));
+    return m.in.attempts >= m.most_attempts || (m.in.ran && (c.effect == Effect::kUnsafe || closed));
   }
 
   // Whether every way to it is barred by told waits for as long as it lives.
   bool barred(const Message& m) const {
     const auto hosts = by_destination_.find(m.in.destination);
     if (hosts == by_destination_.end()) return false;
-    bool any = false;
+    Time opens = kNever;
     for (const auto& [endpoint, host] : hosts->second) {
-      if (!host->ready) continue;
-      if (host->lane->wait_until < last_moment(m)) return false;
-      any = true;
+      if (host->ready) opens = std::min(opens, host->lane->wait_until);
     }
-    return any;
+    return opens != kNever && opens >= last_moment(m);
   }
 
   // The last moment at which the first byte of a repeat may be written.
   Time window_end(const Message& m) const {
-    return m.ran_sent + m.rules->key_window - set_.tick - kWindowMargin;
+    return m.in.ran_sent + m.rules.key_window - set_.tick - kWindowMargin;
   }
 
   Time last_moment(const Message& m) const { return m.in.due - 2 * set_.tick; }
@@ -995,24 +922,17 @@
     return set_.max_retry_after > 0 ? std::min(after, set_.max_retry_after) : after;
   }
 
-  void give_up(uint64_t id, const Message& m) {
-    out_->push_back(refusable(m) ? Action{Refuse{id, retry_after(m)}} : Action{Fail{id}});
-  }
-
   void settle() {
-    std::vector<uint64_t> over;
-    for (const auto& [id, m] : messages_) {
+    for (auto it = messages_.begin(); it != messages_.end();) {
+      const auto& [id, m] = *it++;  // what ends goes
       if (m.out) continue;
       if (hopeless(m) || now_ >= last_moment(m) || barred(m)) {
-        over.push_back(id);
+        out_->push_back(refusable(m) ? Action{Refuse{id, retry_after(m)}} : Action{Fail{id}});
+        end(id);
       } else {
         wake(last_moment(m));
       }
     }
-    for (const uint64_t id : over) {
-      give_up(id, messages_.at(id));
-      end(id);
-    }
   }
 
   // Gives the least worth back when there is hardly room for more.
@@ -1031,10 +951,10 @@
     }
   }
 
-  // ---- Ordering ----
+  // ---- Ordering and dispatch ----
 
   double worth_at(const Message& m, Time at) const {
-    const ClassSettings& c = *m.rules;
+    const ClassSettings& c = m.rules;
     if (at <= m.target) return m.worth;
     if (at >= m.in.due) return 0;
     const double late = seconds(at - m.target);
@@ -1043,7 +963,7 @@
   }
 
   bool has_turn(const Message& m) {
-    if (!m.rules->in_order || m.in.key == 0) return true;
+    if (!m.rules.in_order || m.in.key == 0) return true;
     if (turns_[m.in.key].front() != m.in.id) return false;
     const auto rest = key_rests_.find(m.in.key);
     if (rest == key_rests_.end() || rest->second.second == m.in.id) return true;
@@ -1051,22 +971,15 @@
     return false;
   }
 
-  struct Candidate {
-    double loss;  // worth for each second of a slot, negated: the most comes first
-    Time target;
-    uint64_t id;
-    auto operator<=>(const Candidate&) const = default;
-  };
+  // Worth for each second of a slot, negated: the most comes first; its target; its id.
+  using Candidate = std::tuple<double, Time, uint64_t>;
 
   std::vector<Candidate> candidates() {
     std::vector<Candidate> list;
     for (auto& [id, m] : messages_) {
       if (m.out) continue;
-      if (m.not_before > now_) {
-        wake(m.not_before);
-        continue;
-      }
-      if (!by_destination_.contains(m.in.destination) || !has_turn(m)) continue;
+      wake(m.not_before);
+      if (m.not_before > now_ || !by_destination_.contains(m.in.destination) || !has_turn(m)) continue;
       const double latency = latency_of(destinations_[m.in.destination]).mean;
       list.push_back({-worth_at(m, now_ + micros(latency)) / std::max(0.01, latency), m.target, id});
     }
@@ -1074,8 +987,6 @@
     return list;
   }
 
-  // ---- Dispatch ----
-
   // The design's slot share, narrowed while calls run longer than is usual at this destination.
   int slot_share(const Destination& d) const {
     const double usual = d.usual.seen == 0 ? 1 : std::min(1.0, d.usual.mean / std::max(1e-6, d.latency.mean));
@@ -1089,7 +1000,7 @@
     for (const bool bound : {true, false}) {
       std::vector<Candidate> left;
       for (const Candidate& c : waiting) {
-        Message& m = messages_.at(c.id);
+        Message& m = messages_.at(std::get<2>(c));
         if (m.out) continue;  // went along in another message's call
         Destination& d = destinations_[m.in.destination];
         if (static_cast<int>(calls_.size()) >= set_.slots) return free_slots();
@@ -1135,7 +1046,7 @@
     for (const Candidate& c : waiting) {
       if (room <= 0 || (l.out_since != 0 && l.cold.tokens < kBundleWork - debt)) return;
       if (host->back_since != 0 && host->cold.tokens < kBundleWork - own_debt) return;
-      Message& other = messages_.at(c.id);
+      Message& other = messages_.at(std::get<2>(c));
       if (other.out || other.in.destination != m.in.destination) continue;
       if ((other.repeat && d.tokens < kToken) || !in_scope(other, *host)) continue;
       send(other, d, *host);
@@ -1149,10 +1060,9 @@
 
   // A keyed message that may have run stays with the endpoints that remember its key.
   bool in_scope(const Message& m, const Host& host) const {
-    const ClassSettings& c = *m.rules;
-    if (!m.ran || c.effect != Effect::kKeyed) return true;
-    if (c.key_scope == KeyScope::kCell) return host.member.destination == m.in.destination;
-    return c.key_scope == KeyScope::kAll || host.member.zone == m.ran_zone;
+    const ClassSettings& c = m.rules;
+    if (!m.in.ran || c.effect != Effect::kKeyed) return true;
+    return c.key_scope != KeyScope::kZone || host.member.zone == m.in.ran_zone;
   }
 
   Host* choose(const Message& m) {
@@ -1161,10 +1071,8 @@
     for (const auto& [endpoint, host] : by_destination_[m.in.destination]) {
       if (!host->ready || !in_scope(m, *host)) continue;
       const Time at = std::max(admits(*host->lane, m), admits(*host));
-      if (at > now_) {
-        wake(at);
-        continue;
-      }
+      wake(at);
+      if (at > now_) continue;
       const double cost = cost_of(*host);
       if (best == nullptr || cost < best_cost) {
         best = host;
@@ -1188,13 +1096,7 @@
     return cost;
   }
 
-  double patience(const Message& m) const { return m.rules->effect == Effect::kUnsafe ? kUnsafeTimes : 1; }
-
-  Time timeout_of(const Message& m, const Destination& d) {
-    // No call keeps its slot for the whole life of its message: lost answers would fill the slots one by one.
-    const double longest = std::max(1.0, kTimeoutTimes * seconds(latency_of(d).suspicious()));
-    return std::min(m.in.due - now_, micros(patience(m) * longest));
-  }
+  double patience(const Message& m) const { return m.rules.effect == Effect::kUnsafe ? kUnsafeTimes : 1; }
 
   void start_call(Destination& d, Host& host) {
     idle_ = host.calls == 0 && !needs_conn(host) ? now_ - host.last_used : 0;
@@ -1206,7 +1108,7 @@
     calls_[++last_call_] = {};
     ++host.calls;
     ++d.calls;
-    charge(*host.lane);
+    host.lane->pacer.tokens -= 1;  // where no pace holds it begins anew with the first
   }
 
   void send(Message& m, Destination& d, Host& host) {
@@ -1220,15 +1122,15 @@
     m.repeat = false;
     m.out = true;
     ++calls_[last_call_].left;
-    attempts_[{m.in.id, m.attempts++}] = {host.member.endpoint, now_, last_call_, false, scout, idle_};
-    Send out{m.in.id, host.member.endpoint, timeout_of(m, d)};
-    const bool window = m.ran && m.rules->effect == Effect::kKeyed;
+    attempts_[{m.in.id, m.in.attempts++}] = {host.member.endpoint, now_, last_call_, false, scout, idle_};
+    // No call keeps its slot for the whole life of its message: lost answers would fill the slots one by one.
+    const double longest = std::max(1.0, kTimeoutTimes * seconds(latency_of(d).suspicious()));
+    Send out{m.in.id, host.member.endpoint, std::min(m.in.due - now_, micros(patience(m) * longest))};
+    const bool window = m.in.ran && m.rules.effect == Effect::kKeyed;
     if (window) out.start_by = window_end(m);
     out_->push_back(out);
   }
 
-  // ---- The list and the timer ----
-
   void keep_watching() {
     if (!set_.ask_for_list || watching_) return;
     if (now_ < watch_at_) return wake(watch_at_);
@@ -1247,7 +1149,6 @@
   }
 
   Settings set_;
-  std::vector<std::shared_ptr<const ClassSettings>> classes_;
   Random random_;
   Time now_ = std::numeric_limits<Time>::min();
   Time started_ = kNever;  // when the first step was
