Leaving: new settings bring no endpoint back that is gone

Seen on reading, confirmed by Leaving.NewSettingsBringNoGoneHostBack: a whole list leaves an endpoint out while a call to it is out; then new settings (or a Suspended) come; five of five messages go to it, beyond drain_grace. Cause: fold(MembersChanged) marked it gone in Host::gone and ready, but left member.listing, from which fold(SettingsChanged) admits every known host anew. The relay hides it (may_start asks the directory): there each such call is taken back as moot. Change: what is listed stands in one place; ready and gone are read from it.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -205,8 +205,6 @@
 struct Host {
   Member member;
   Lane* lane = nullptr;
-  bool ready = false;
-  bool gone = false;
   bool suspended = false;  // by hand
   Time back_since = 0;     // when it was put back; 0: long ago
   double base = 0;         // own rate to it before it was taken out
@@ -222,6 +220,9 @@
   int fails = 0;
   Time avoid_until = 0;
   Latency latency;
+
+  bool ready() const { return member.listing == Listing::kReady && !suspended; }
+  bool gone() const { return member.listing == Listing::kGone; }
 };
 
 // What is alike among destinations of a kind: the prior for one that this relay seldom calls.
@@ -267,8 +268,9 @@
   size_t avoided(Time now) const {
     return static_cast<size_t>(std::count_if(hosts_.begin(), hosts_.end(), [now](const auto& entry) {
       const Host& h = entry.second;
-      const bool out = h.suspended && !h.gone;
-      return out || (h.ready && (h.avoid_until > now || (h.lane->out_since != 0 && h.lane->back_since == 0)));
+      const bool out = h.suspended && !h.gone();
+      return out ||
+             (h.ready() && (h.avoid_until > now || (h.lane->out_since != 0 && h.lane->back_since == 0)));
     }));
   }
 
@@ -298,8 +300,7 @@
     if (watching_) watch_pause_ = kSecond / 4;
     if (e.form == MembersChanged::Form::kFull) {
       for (auto& [id, host] : hosts_) {
-        host.ready = false;
-        host.gone = true;
+        host.member.listing = Listing::kGone;
         leaving_.insert(id);
       }
     }
@@ -313,16 +314,14 @@
     if (unheard) host.lot = seconds(random_.between(0, kSecond));
     host.member = m;
     host.lane = &lane_of(m);
-    host.ready = m.listing == Listing::kReady && !host.suspended;
-    host.gone = m.listing == Listing::kGone;
-    if (host.gone) leaving_.insert(m.endpoint);
+    if (host.gone()) leaving_.insert(m.endpoint);
     by_destination_[m.destination][m.endpoint] = &host;
     auto [entry, fresh] = destinations_.try_emplace(m.destination);
     Destination& d = entry->second;
     d.kind = m.kind;
     d.cap = kBucketCap * batch_of(m);
     if (fresh) d.remembered = {m.destination, d.tokens = d.cap};
-    if (set_.weights != Weights::kNone && m.weight > 0 && host.ready && !host.lane->told) {
+    if (set_.weights != Weights::kNone && m.weight > 0 && host.ready() && !host.lane->told) {
       take_limit(*host.lane, m.weight);
     }
   }
@@ -333,7 +332,7 @@
     Host& host = found->second;
     host.suspended = e.out;
     if (e.out) {
-      host.base = pooled_rate(*host.lane) / static_cast<double>(ready(*host.lane) + (host.ready ? 0 : 1));
+      host.base = pooled_rate(*host.lane) / static_cast<double>(ready(*host.lane) + (host.ready() ? 0 : 1));
     } else {
       host.back_since = now_;
       host.cold = {seconds(random_.between(0, kSecond)), now_};
@@ -346,7 +345,7 @@
   void forget_gone() {
     std::erase_if(leaving_, [this](const Endpoint& endpoint) {
       Host& host = hosts_.at(endpoint);
-      if (!host.gone) return true;
+      if (!host.gone()) return true;
       if (host.calls > 0 || host.probe_out) return false;
       by_destination_[host.member.destination].erase(endpoint);
       if (const LaneKey key = host.lane->key; key.second != Endpoint{}) {
@@ -788,8 +787,9 @@
 
   ptrdiff_t ready(const Lane& l) const {
     const auto& hosts = by_destination_.at(l.key.first);
-    return std::count_if(hosts.begin(), hosts.end(),
-                         [&l](const auto& entry) { return entry.second->ready && entry.second->lane == &l; });
+    return std::count_if(hosts.begin(), hosts.end(), [&l](const auto& entry) {
+      return entry.second->ready() && entry.second->lane == &l;
+    });
   }
 
   // Share of the relays that were handed a message for the lane in the outage, and so know of it.
@@ -896,7 +896,7 @@
     if (hosts == by_destination_.end()) return false;
     Time opens = kNever;
     for (const auto& [endpoint, host] : hosts->second) {
-      if (host->ready) opens = std::min(opens, host->lane->wait_until);
+      if (host->ready()) opens = std::min(opens, host->lane->wait_until);
     }
     return opens != kNever && opens >= last_moment(m);
   }
@@ -914,7 +914,7 @@
     Time soonest = kRetryMost;
     for (const auto& [endpoint, host] : by_destination_[m.in.destination]) {
       const Lane& l = *host->lane;
-      if (!host->ready || (l.out_since != 0 && l.back_since == 0)) continue;
+      if (!host->ready() || (l.out_since != 0 && l.back_since == 0)) continue;
       const Time turn = l.pace > 0 ? micros(1 / l.pace) : 0;
       soonest = std::min(soonest, std::max(l.wait_until - now_, turn));
     }
@@ -1069,7 +1069,7 @@
     Host* best = nullptr;
     double best_cost = 0;
     for (const auto& [endpoint, host] : by_destination_[m.in.destination]) {
-      if (!host->ready || !in_scope(m, *host)) continue;
+      if (!host->ready() || !in_scope(m, *host)) continue;
       const Time at = std::max(admits(*host->lane, m), admits(*host));
       wake(at);
       if (at > now_) continue;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -958,6 +958,26 @@
 // ---- Hosts that go ----
 
 // It is forgotten only once nothing is out on it: a late outcome still ends its message.
+// Settings are told to every host that is known, also to one that is known for its last call alone.
+TEST(Leaving, NewSettingsBringNoGoneHostBack) {
+  Settings s = plain_settings();
+  s.price_cross_zone = 1;
+  Relay relay(s);
+  const auto first = all_of<Send>(relay.step(0, {members({member(1)}), relay.message(1, 0)}));
+  ASSERT_EQ(first.size(), 1u);
+  Member farther = member(2);
+  farther.zone = 1;
+  relay.step(10'000, {members({farther})});  // a whole list without it, while its call is out
+  relay.step(20'000, {SettingsChanged{std::make_shared<const Settings>(s)}});
+  for (uint64_t id = 2; id <= 6; ++id) {
+    const Time now = static_cast<Time>(id) * 2 * kSecond;
+    for (const Send& send : all_of<Send>(relay.step(now, {relay.message(id, now)}))) {
+      EXPECT_EQ(send.endpoint.address, 2u);
+      relay.step(now + kSecond, {ended(send, 0, Outcome::kOk, kSecond)});
+    }
+  }
+}
+
 TEST(Leaving, ALateOutcomeOfAGoneHostEndsItsMessage) {
   Relay relay(plain_settings());
   const auto sends = all_of<Send>(relay.step(0, {members({member(1)}), relay.message(7, 0)}));
