Config: a process shares out the descriptors it really may hold

Seen by test: with limits.sockets 1,024 and a process limit of 96, 300 idle clients took every descriptor; a request on a further connection got no answer within 30 s.

Cause: own_descriptors, most_calls and most_clients in relay/relay.cpp are taken from limits.sockets alone. With a lower limit the accept fails before Clients::make_room is ever asked, and nothing else can open one either.

Change: load_config raises the soft limit as far as the process may and takes what is left of limits.sockets; few_descriptors warns where that is less.

Descriptors.../1024Told96Allowed failed before (no answer), seen. As the shares now follow the limit, SurvivesRunningOutOfDescriptors (unchanged) no longer meets a failing accept: DescriptorsGone.AnAcceptIsTriedAgain lowers the limit of the running process and does.

--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -1,5 +1,7 @@
 #include "config.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <fstream>
@@ -8,12 +10,15 @@
 #include <set>
 
 #include "errors.h"
+#include "net/log.h"
 
 namespace firspool::relay {
 namespace {
 
 using nlohmann::json;
 
+constexpr size_t kFewestSockets = 64;
+
 std::string scalar(const json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
 
 void flatten_into(const json& value, const std::string& path, std::string& out) {
@@ -130,7 +135,7 @@
   const json& limits = root.at("limits");
   out.sockets = limits.at("sockets").get<size_t>();
   const double disk_mb = limits.at("disk_mb").get<double>();
-  if (out.sockets < 64) throw BadConfig("limits.sockets is under 64");
+  if (out.sockets < kFewestSockets) throw BadConfig("limits.sockets is under 64");
   if (!(disk_mb > 0 && disk_mb < 1e6)) throw BadConfig("limits.disk_mb is out of range");
   out.disk_bytes = static_cast<size_t>(disk_mb * 1e6);
   const json& settings = root.at("settings");
@@ -162,12 +167,28 @@
   }
 }
 
+// What this process may hold may be less than it is told, and its own limit lower than it has to be: clients
+// would take what calls, the watch and the journal need.
+static size_t descriptors(size_t told) {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return told;
+  const rlim_t wanted = std::min<rlim_t>(told, limit.rlim_max);
+  if (limit.rlim_cur < wanted) {
+    const rlimit raised{wanted, limit.rlim_max};
+    if (::setrlimit(RLIMIT_NOFILE, &raised) == 0) limit.rlim_cur = wanted;
+  }
+  if (limit.rlim_cur >= told) return told;
+  net::log::warn("few_descriptors", "told", told, "allowed", static_cast<size_t>(limit.rlim_cur));
+  return std::max(kFewestSockets / 2, static_cast<size_t>(limit.rlim_cur));
+}
+
 Config load_config() {
   const std::string path = needed("PROXY_CONFIG");
   const std::string state = needed("PROXY_STATE");
   std::ifstream file(path, std::ios::binary);
   if (!file) throw BadConfig("cannot read " + path);
   Config out = parse_file(path, {std::istreambuf_iterator<char>(file), {}}, state);
+  out.sockets = descriptors(out.sockets);
   // First, as it is the process's own: during an upgrade two versions may share a file.
   const char* control = std::getenv("PROXY_CONTROL");
   if (control != nullptr && *control != '\0') {
--- /dev/null
+++ b/tests/descriptors_test.cpp
@@ -0,0 +1,146 @@
+// Every descriptor that clients may hold is held by idle ones, while discovery goes and comes back: what else
+// the relay needs one for still gets it.
+#include <poll.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+
+#include <csignal>
+
+#include "peers.h"
+
+namespace firspool::testing {
+namespace {
+
+const std::string kPing = "*1\r\n$4\r\nPING\r\n";
+
+// Discovery whose end the test decides.
+struct Platform {
+  Socket listener = Socket::listen();
+  Socket watch;
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(listener.port()); }
+  // The next request whose caller still waits: while discovery is down calls come up and are given up.
+  std::pair<Socket, Request> next(const std::string& method) {
+    while (true) {
+      pollfd waiting{listener.fd(), POLLIN, 0};
+      if (::poll(&waiting, 1, kDeadlineMs) <= 0) return {Socket(), Request{}};
+      Socket caller = listener.accept();
+      auto request = read_request(caller);
+      char byte = 0;
+      const bool gone = ::recv(caller.fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+      if (request && !gone && request->first.starts_with(method)) return {std::move(caller), *request};
+    }
+  }
+  void open() {
+    watch = next("GET").first;
+    ASSERT_TRUE(watch.open()) << "the watch was not opened";
+    watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  }
+  void tell(const nlohmann::json& list) {
+    const std::string text = list.dump() + "\n";
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    ASSERT_TRUE(watch.send(size + text + "\r\n"));
+  }
+  nlohmann::json notice() {
+    const auto [post, request] = next("POST");
+    if (!post.open()) return nullptr;
+    post.send("HTTP/1.1 204 No Content\r\n\r\n");
+    return nlohmann::json::parse(request.body);
+  }
+};
+
+size_t held(const Program& program) {
+  const auto entries = std::filesystem::directory_iterator("/proc/" + std::to_string(program.pid()) + "/fd");
+  return static_cast<size_t>(std::distance(begin(entries), end(entries)));
+}
+
+struct Limits {
+  size_t told = 0;  // limits.sockets
+  int allowed = 0;  // to the process
+};
+
+class Descriptors : public ::testing::TestWithParam<Limits> {};
+
+TEST_P(Descriptors, AreLeftForAllElseWhereIdleClientsHoldTheirs) {
+  Host host;
+  Platform platform;
+  auto config = config_json(platform.address(), {member_json("s-1", host.address(), 7)});
+  config["control"] = "127.0.0.1:0";
+  config["limits"]["sockets"] = GetParam().told;
+  config["limits"]["disk_mb"] = 0.05;
+  Program program(config);
+  program.start(GetParam().allowed);
+  platform.open();
+  platform.tell(list_json(2, true, {member_json("s-1", host.address(), 7)}));
+
+  platform.watch.close();
+  std::vector<Socket> idle;
+  for (size_t i = 0; i < 300; ++i) {
+    idle.push_back(program.client());
+    if (i % 2 == 0) idle.back().send(kPing);
+  }
+  const auto served = [&](const std::string& id, const std::string& facts) {
+    Socket client = program.client();
+    client.send(put_bytes(id, facts, std::string(4000, 'x')));
+    const std::string answer = client.line();
+    idle.push_back(std::move(client));  // and rests
+    return answer;
+  };
+  // More than the journal's file holds: it is written anew meanwhile.
+  for (int i = 0; i < 12; ++i) {
+    ASSERT_EQ(served("00000000000000b" + std::to_string(i), "c=safe,d=60000,dest=7"), "+OK") << i;
+    EXPECT_EQ(host.next().headers.at("x-call-id"), "00000000000000b" + std::to_string(i));
+    host.answer("200");
+  }
+  EXPECT_LE(held(program), static_cast<size_t>(GetParam().allowed));
+
+  std::vector<Socket> stalled;  // and as many operators as are heard at once
+  for (int i = 0; i < 16; ++i) stalled.push_back(program.operators());
+  platform.open();
+  platform.tell(
+      list_json(3, true, {member_json("s-1", host.address(), 7), member_json("s-2", host.address(), 9)}));
+  EXPECT_EQ(program.operate("GET", "/v1/readyz").first, 200);
+  std::string answer = "-ERR unknown";  // until the list is heard
+  for (int i = 0; i < 1000 && answer.starts_with("-ERR unknown"); ++i) {
+    answer = served("00000000000000c1", "c=unsafe,d=60000,dest=9");
+  }
+  EXPECT_EQ(answer, "+OK");
+  host.next();
+  host.reset();
+  EXPECT_EQ(platform.notice()["id"], "00000000000000c1");
+  program.signal(SIGHUP);
+  EXPECT_TRUE(program.logged("reloaded"));
+  EXPECT_LE(held(program), static_cast<size_t>(GetParam().allowed));
+}
+
+INSTANTIATE_TEST_SUITE_P(Limits, Descriptors,
+                         ::testing::Values(Limits{1024, 1024}, Limits{128, 128}, Limits{64, 64},
+                                           Limits{1024, 96}),
+                         [](const auto& about) {
+                           return std::to_string(about.param.told) + "Told" +
+                                  std::to_string(about.param.allowed) + "Allowed";
+                         });
+
+// The system may have none even so: an accept fails again at once, and the relay waits a little and serves
+// on.
+TEST(DescriptorsGone, AnAcceptIsTriedAgain) {
+  Platform platform;
+  Program program(config_json(platform.address(), {}));
+  program.start();
+  platform.open();
+  const rlim_t few = held(program) + 2;
+  const rlimit now{few, few};
+  ASSERT_EQ(::prlimit(program.pid(), RLIMIT_NOFILE, &now, nullptr), 0);
+  std::vector<Socket> crowd;
+  for (int i = 0; i < 60; ++i) crowd.push_back(program.client());
+  crowd.front().send(kPing);
+  EXPECT_EQ(crowd.front().line(), "+PONG");
+  crowd.clear();
+  Socket client = program.client();
+  client.send(kPing);
+  EXPECT_EQ(client.line(), "+PONG");
+}
+
+}  // namespace
+}  // namespace firspool::testing
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -135,6 +135,7 @@
   void log_at(const std::string& level) { level_ = level; }         // from the next start on
   void configure(const std::string& text);  // replaces the file; it is read at a start or on SIGHUP
   void signal(int number);
+  pid_t pid() const { return child_; }
   int wait();  // exit status; minus the signal that ended it
   void kill();
   std::filesystem::path state() const { return state_; }
