Tests: an approved transcript of answers that break off

A 503 cut in its first line is sent again where the class allows it and failed with a notice where it does not; a 200 cut behind its first line is a delivery; a reset before any answer may have run.

--- a/tests/transcript_test.cpp
+++ b/tests/transcript_test.cpp
@@ -307,6 +307,59 @@
   t.check();
 }
 
+TEST(Transcripts, AnAnswerIsCut) {
+  Transcript t("answer_cut");
+  t.title("Answers that break off: what may have run is sent again only where that does no harm.");
+  t.place("ms", R"(x-budget: (\d+)m)", false);
+  Host receiver;
+  Discovery discovery;
+  Program relay(config_json(discovery.address(), {member_json("s-1", receiver.address(), 7)}));
+  relay.log_at("debug");
+  relay.start();
+  const auto put = [&](const std::string& id, const std::string& message_class) {
+    const std::string facts = "c=" + message_class + ",d=60000,k=5c0f6e1a2b3d4c59,dest=7";
+    Socket client = relay.client();
+    client.send(put_bytes(id, facts, "ring"));
+    t.said("client", "relay", "MSG.PUT", id + "\n" + facts + "\nring");
+    t.said("relay", "client", client.line());
+  };
+  const auto call = [&] {
+    const Request request = receiver.next();
+    t.said("relay", "receiver", request.first,
+           "x-call-id: " + request.headers.at("x-call-id") + "\n\n" + request.body);
+  };
+  const auto cut = [&](const std::string& bytes, bool resets) {
+    receiver.raw(bytes);
+    resets ? receiver.reset() : receiver.drop();
+    t.said("receiver", "relay", resets ? "a reset behind" : "an end behind", bytes);
+  };
+  const auto logged = [&](const std::string& event) { t.said("relay", "log", relay.log_line(event)); };
+  t.note("a message that may be repeated");
+  put("00000000000000a1", "keyed");
+  call();
+  cut("HTTP/1.1 503 Servi", false);
+  logged("call_ended");
+  call();
+  cut("HTTP/1.1 200 OK\r\nContent-Le", false);
+  logged("call_ended");
+  logged("end");
+  t.note("one that may not");
+  put("00000000000000a2", "unsafe");
+  call();
+  cut("HTTP/1.1 503 Servi", true);
+  logged("call_ended");
+  logged("end");
+  t.said("relay", "platform", "a notice", discovery.notice().dump());
+  t.note("another, whose connection breaks before any answer");
+  put("00000000000000a3", "unsafe");
+  call();
+  cut("", true);
+  logged("call_ended");
+  logged("end");
+  t.said("relay", "platform", "a notice", discovery.notice().dump());
+  t.check();
+}
+
 TEST(Transcripts, ConfigurationsAreRefused) {
   Transcript t("configurations_refused");
   t.plain();  // all of it is the same in each run
