Transcripts: a restart with untried messages under other settings

What a client, the relay, a receiver and discovery say where a relay is killed with two messages that it has taken on and not tried, and comes back with settings that have no class "safe" and in which "unsafe" may run twice: both are tried, the first one again after an error, the second one not.

--- a/tests/transcript_test.cpp
+++ b/tests/transcript_test.cpp
@@ -409,5 +409,57 @@
   t.check();
 }
 
+// Settings change with the restart: a class is gone, another one of that name allows less.
+TEST(Transcripts, ARestartTriesWhatWasHeldUntried) {
+  Transcript t("relay_untried");
+  t.title("A relay is restarted with messages that it has taken on and not tried, under other settings.");
+  t.place("ms", R"(x-budget: (\d+)m)", false);
+  Host receiver;
+  Discovery discovery;
+  json config = config_json(discovery.address(), {member_json("s-1", receiver.address(), 7, "leaving")});
+  config["settings"]["family_info"]["calls_out"] = 1;
+  config["settings"]["weights"] = "none";  // one call follows the other at once, in the order of the messages
+  for (auto& category : config["settings"]["categories"]) category["target_s"] = 50.0;
+  Program relay(config);
+  relay.log_at("debug");
+  relay.start();
+  const auto put = [&](const std::string& id, const std::string& message_class) {
+    const std::string facts = "c=" + message_class + ",d=60000,k=5c0f6e1a2b3d4c59,dest=7";
+    Socket client = relay.client();
+    client.send(put_bytes(id, facts, "ring"));
+    t.said("client", "relay", "MSG.PUT " + id + " " + facts + " ring");
+    t.said("relay", "client", client.line());
+  };
+  const auto call = [&](const std::string& status) {
+    const Request request = receiver.next();
+    t.said("relay", "receiver", request.first, "x-call-id: " + request.headers.at("x-call-id"));
+    receiver.answer(status);
+    t.said("receiver", "relay", status);
+    t.said("relay", "log", relay.log_line("call_ended"));
+  };
+  put("00000000000000a1", "safe");
+  put("00000000000000a2", "unsafe");
+  t.note("its one receiver wants nothing new: no call is made");
+  for (auto& category : config["settings"]["categories"]) {
+    if (category["name"] == "safe") category["name"] = "renamed";
+    if (category["name"] == "unsafe") category["semantics"] = "safe";
+  }
+  t.note(
+      "the relay is killed, and started with settings that have no class safe, and allow unsafe to run "
+      "twice");
+  relay.kill();
+  relay.configure(config.dump());
+  relay.start();
+  put("00000000000000a3", "safe");
+  discovery.tell(list_json(2, false, {member_json("s-2", receiver.address(), 7)}));
+  t.note("discovery tells of a receiver that is ready");
+  call("500");  // of the first, which was safe when it came
+  call("500");  // of the second, which was not
+  t.said("relay", "discovery", "a notice", discovery.notice().dump());
+  call("200");  // the first again
+  t.said("relay", "log", relay.log_line("end"));
+  t.check();
+}
+
 }  // namespace
 }  // namespace firspool::testing
