Tests: a silent watch's transcript; a drain that comes while a connection comes up

Cause: two crossings at the list that nothing showed: a watch that says nothing more while a drain is written, and a drain listed between a call's connect and its first byte (Relay::may_start).

Change: an approved transcript, and a test in which the system holds a connection back (a full queue at the receiver) until the drain is heard. Without the look at the list in Relay::may_start the second test fails: the call is read by the receiver that leaves.

--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/post.hpp>
+#include <csignal>
+#include <fstream>
 #include <queue>
 #include <thread>
 
@@ -253,5 +255,59 @@
   wait_for(told_, 9);
 }
 
+// A drain that comes while a call's connection comes up: the call is not begun there.
+TEST(Drain, IsHeededByACallWhoseConnectionComesUp) {
+  using namespace testing;
+  const Socket leaving(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ASSERT_EQ(::bind(leaving.fd(), reinterpret_cast<const sockaddr*>(&at), sizeof at), 0);
+  ASSERT_EQ(::listen(leaving.fd(), 0), 0);
+  const Socket in_the_way = Socket::connect(leaving.port());  // until it is accepted nobody else gets through
+  const std::string address = "127.0.0.1:" + std::to_string(leaving.port());
+  Host host;
+  Discovery discovery;
+  nlohmann::json config =
+      config_json(discovery.address(),
+                  {member_json("s-1", address, 7), member_json("s-9", host.address(), 8, "leaving")});
+  config["settings"]["bounds"]["connect_timeout_s"] = 30.0;
+  Program program(config);
+  program.start();
+  const auto put = [&](const std::string& id, int destination) {
+    Socket client = program.client();
+    client.send(put_bytes(id, "c=keyed,d=60000,k=5c0f6e1a2b3d4c59,dest=" + std::to_string(destination)));
+    EXPECT_EQ(client.line(), "+OK");
+  };
+  const auto connecting = [&] {  // as the system lists it: to that port, its SYN unanswered
+    char port[8];
+    std::snprintf(port, sizeof port, ":%04X", leaving.port());
+    std::ifstream list("/proc/net/tcp");
+    for (std::string line; std::getline(list, line);) {
+      if (line.find(std::string(port) + " 02") != std::string::npos) return true;
+    }
+    return false;
+  };
+  put("00000000000000a1", 7);
+  const auto until = std::chrono::steady_clock::now() + milliseconds(kDeadlineMs);
+  while (!connecting() && std::chrono::steady_clock::now() < until)
+    std::this_thread::sleep_for(milliseconds(5));
+  ASSERT_TRUE(connecting());
+  put("00000000000000a2", 8);
+  discovery.tell(list_json(
+      2, false, {member_json("s-1", address, 7, "leaving"), member_json("s-2", host.address(), 8)}));
+  EXPECT_EQ(host.next().headers.at("x-call-id"), "00000000000000a2");  // the list is heard
+  host.answer("200");
+  ASSERT_TRUE(connecting());
+  leaving.accept();
+  Socket up = leaving.accept();  // the relay's, once its SYN is sent again
+  discovery.tell(list_json(3, false, {member_json("s-3", host.address(), 7)}));
+  EXPECT_EQ(host.next().headers.at("x-call-id"), "00000000000000a1");
+  host.answer("200");
+  program.signal(SIGTERM);
+  EXPECT_EQ(program.wait(), 0);
+  EXPECT_EQ(up.line(), "");  // ended, and nothing came on it
+}
+
 }  // namespace
 }  // namespace firspool::relay
--- a/tests/transcript_test.cpp
+++ b/tests/transcript_test.cpp
@@ -461,5 +461,57 @@
   t.check();
 }
 
+// What it misses counts as told 6 s after it fell silent.
+TEST(Transcripts, AWatchFallsSilentAndTheDrainItMissedIsHeeded) {
+  Transcript t("silent_watch");
+  t.title(
+      "A watch stays open and says nothing more. The relay asks anew, and heeds the drain that it missed.");
+  t.place("ms", R"(x-budget: (\d+)m)", false);
+  Host before;
+  Host receiver;
+  const Socket discovery = Socket::listen();
+  Program relay(config_json(
+      "127.0.0.1:" + std::to_string(discovery.port()),
+      {member_json("s-1", before.address(), 7), member_json("s-9", before.address(), 8, "leaving")}));
+  relay.start();
+  const auto watch = [&](const json& list) {
+    Socket call = discovery.accept();
+    const auto request = read_request(call);
+    t.said("relay", "discovery", request ? request->first : "nothing");
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", list.dump().size() + 1);
+    call.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size + list.dump()) + "\n\r\n");
+    t.said("discovery", "relay", "200", list.dump());
+    return call;
+  };
+  const auto put = [&](const std::string& id, const std::string& facts) {
+    Socket client = relay.client();
+    client.send(put_bytes(id, facts, "ring"));
+    t.said("client", "relay", "MSG.PUT <key> " + id + " " + facts + " ring");
+    t.said("relay", "client", client.line());
+  };
+  const auto call = [&] {
+    const Request request = receiver.next();
+    t.said("relay", "receiver", request.first + " with " + request.headers.at("x-call-id"));
+    receiver.answer("200");
+    t.said("receiver", "relay", "200");
+  };
+  const Socket silent = watch(list_json(5, true, {member_json("s-1", before.address(), 7)}));
+  const auto since = std::chrono::steady_clock::now();
+  t.note("it says nothing more; s-1 is to drain, s-2 takes its place, s-3 comes");
+  put("00000000000000a1", "c=keyed,d=60000,k=5c0f6e1a2b3d4c59,dest=8");
+  const Socket next = watch(
+      list_json(6, false,
+                {member_json("s-1", before.address(), 7, "leaving"),
+                 member_json("s-2", receiver.address(), 7), member_json("s-3", receiver.address(), 8)}));
+  call();
+  EXPECT_LT(std::chrono::steady_clock::now() - since, std::chrono::seconds(6));
+  t.said("relay", "log", relay.log_line("watch_lost"));
+  put("00000000000000a2", "c=keyed,d=60000,k=5c0f6e1a2b3d4c59,dest=7");
+  call();
+  EXPECT_EQ(before.connections(), 0);
+  t.check();
+}
+
 }  // namespace
 }  // namespace firspool::testing
