Recovery: a start on a full disk takes nothing on and keeps what is there

Ruled out by Recovery.BeginsOnAFullDisk (passes without any change to the program): a message that is on the disk stays, a new one is refused, and both are tried once there is room. The relay runs in the test's own process for it (tests/inside.h, moved from handover_test.cpp).

Open, as before (ROADMAP): with the disk full and an endpoint ready each attempt ends at once as not started, and a message's attempts are used up with no call.

--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -3,7 +3,6 @@
 #include "relay/handover.h"
 
 #include <fcntl.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/un.h>
@@ -14,10 +13,9 @@
 #include <cstring>
 #include <future>
 
+#include "inside.h"
 #include "peers.h"
-#include "relay/config.h"
 #include "relay/journal.h"
-#include "relay/relay.h"
 
 namespace firspool::testing {
 namespace {
@@ -386,35 +384,6 @@
 
 // ---- A new process is asked before it has opened itself ----
 
-// The relay itself, in the test: its events run when the test says so.
-struct Inside {
-  boost::asio::io_context io;
-  std::optional<relay::Relay> relay;
-  std::promise<uint16_t> port;
-  std::thread thread;
-
-  void create(const nlohmann::json& config, const std::filesystem::path& folder) {
-    relay.emplace(io, relay::parse_config(config.dump(), folder.string()),
-                  [this](const auto& address) { port.set_value(address.port()); });
-  }
-  void run() {
-    thread = std::thread([this] { io.run(); });
-  }
-  ~Inside() {
-    io.stop();
-    if (thread.joinable()) thread.join();
-  }
-};
-
-struct Folder {
-  std::filesystem::path path;
-  Folder() {
-    std::string pattern = std::filesystem::temp_directory_path() / "umberhoist-handover-XXXXXX";
-    path = ::mkdtemp(pattern.data());
-  }
-  ~Folder() { std::filesystem::remove_all(path); }
-};
-
 TEST(Handover, GoesOnThroughAProcessThatHadNotOpened) {
   Side s;
   const Folder folder;
@@ -450,25 +419,11 @@
                                 {"began", true}};
   EXPECT_TRUE(before.handover.give(Parcel::kEnded, ended.dump()));
   EXPECT_EQ(last.next().kind, Parcel::kEnded);
-  EXPECT_EQ(last.next().kind, 0);  // it has ended
+  EXPECT_EQ(middle.run_out.wait_for(std::chrono::milliseconds(kDeadlineMs)), std::future_status::ready);
 }
 
 // ---- What cannot be handed over ----
 
-class FullDisk {  // while it stands the process's files cannot grow beyond a size
- public:
-  explicit FullDisk(size_t size) {
-    std::signal(SIGXFSZ, SIG_IGN);
-    ::getrlimit(RLIMIT_FSIZE, &before_);
-    const rlimit limit{size, before_.rlim_max};
-    ::setrlimit(RLIMIT_FSIZE, &limit);
-  }
-  ~FullDisk() { ::setrlimit(RLIMIT_FSIZE, &before_); }
-
- private:
-  rlimit before_{};
-};
-
 // The new process would read a journal that lacks what the disk had no room for.
 TEST(Handover, IsPutOffWhileTheJournalIsBehind) {
   Side s;
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <set>
 
+#include "inside.h"
 #include "peers.h"
 #include "relay/journal.h"
 
@@ -439,5 +440,33 @@
   s.host.answer("200");
 }
 
+// Nothing new is taken on; what is there stays, and can be tried once there is room.
+TEST(Recovery, BeginsOnAFullDisk) {
+  Restarted s;
+  const Folder folder;
+  {
+    Journal journal(folder.path, kDisk);
+    const auto due = relay::wall_now() + 60'000'000;
+    ASSERT_TRUE(journal.accepted({"m-held", "safe", "", 99, 0, "body", ""}, due));
+  }
+  Inside relay;
+  Socket client;
+  {
+    const FullDisk full(std::filesystem::file_size(folder.path / "journal"));
+    relay.create(s.config, folder.path);
+    relay.run();
+    client = Socket::connect(relay.port.get_future().get());
+    client.send(put_bytes("m-1", facts("safe", 99)));
+    EXPECT_EQ(client.line(), "-BUSY 500");
+  }
+  client.send(put_bytes("m-2", facts("safe", 99)));
+  EXPECT_EQ(client.line(), "+OK");
+  s.release();
+  for (const std::string id : {"m-held", "m-2"}) {
+    EXPECT_EQ(id_of(s.host.next()), id);
+    s.host.answer("200");
+  }
+}
+
 }  // namespace
 }  // namespace firspool::testing
