--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -16,6 +16,7 @@
 
 #include "net/backoff.h"
 #include "peers.h"
+#include "registry/follow.h"
 
 namespace firspool::relay {
 namespace {
@@ -255,6 +256,27 @@
   wait_for(told_, 9);
 }
 
+// The registry's members are called at the same pace.
+TEST_F(Script, AMemberThatFailsIsFollowedByAnotherCallInTime) {
+  listen();
+  registry::FollowSettings settings;
+  settings.members = {net::parse_address("127.0.0.1:" + std::to_string(port_))};
+  settings.callers = 1000;
+  settings.seed = 43;
+  registry::Follower::Listener listener;
+  listener.told = [](const nlohmann::json&) {};
+  listener.current = [] {};
+  registry::Follower follower(io_, settings, nullptr, listener);
+  runner_ = std::thread([this] { io_.run(); });
+  Socket failed = call(socket_);
+  const auto since = Clock::now();
+  failed.reset();
+  const Socket next = call(socket_);
+  EXPECT_LT(std::chrono::duration_cast<milliseconds>(Clock::now() - since).count(), 6000);
+  io_.stop();
+  runner_.join();
+}
+
 // A drain that comes while a call's connection comes up: the call is not begun there.
 TEST(Drain, IsHeededByACallWhoseConnectionComesUp) {
   using namespace testing;
