Recovery: the key of a message in order outlives the process

Change: the record holds the key behind its rules' number; older records have none, older versions skip it.

--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -145,8 +145,9 @@
     entry.message.destination = static_cast<int>(in.number());
     entry.due = in.number();
     entry.message.body = in.text();
-    if (in.more()) entry.message.tenant = in.text();  // neither is in older records
+    if (in.more()) entry.message.tenant = in.text();  // none of these is in older records
     if (in.more()) entry.rules = in.number();
+    if (in.more()) entry.message.about = static_cast<uint64_t>(in.number());
     places[id] = recovered_.size();
     recovered_.push_back(std::move(entry));
     places_[id] = ++order_;
@@ -228,7 +229,8 @@
       .number(due)
       .text(m.body)
       .text(m.tenant)
-      .number(rules);
+      .number(rules)
+      .number(static_cast<int64_t>(m.about));
   const size_t bytes = kHeader + out.payload().size() + kReserve;
   if (static_cast<double>(live_bytes_ + bytes) > kAcceptPart * static_cast<double>(most_file_)) return false;
   places_[m.id] = ++order_;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -428,6 +428,7 @@
     in.tenant = tenant_of(entry.message.tenant);
     in.due = held.due;
     in.destination = entry.message.destination;
+    in.key = entry.message.about;
     in.attempts = entry.attempts;
     auto unsettled = entry.unsettled;
     auto away = away_.find(entry.message.id);
--- a/tests/customers_test.cpp
+++ b/tests/customers_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 
 #include "peers.h"
@@ -32,7 +33,7 @@
   EXPECT_EQ(client.line(), "-ERR unreadable class");
 }
 
-// The key of a class in order is the command's first word.
+// The key of a class in order is the command's first word; it outlives the process.
 TEST(Customers, HaveMessagesOfOneKeyDeliveredInTurn) {
   Customer c;
   c.config["settings"]["categories"][0]["in_order"] = true;
@@ -53,7 +54,18 @@
   const auto other = read_request(second);
   ASSERT_TRUE(other);
   EXPECT_EQ(other->headers.at("x-call-id"), "b1");  // a2 was taken on before it
-  c.host.answer("200");
+  program.kill();
+  c.host.drop();
+  program.start();
+  Socket again[] = {c.host.beside(), c.host.beside()};  // in any order, as each waits a random pause
+  std::set<std::string> ids;
+  for (Socket& each : again) {
+    const auto call = read_request(each);
+    ASSERT_TRUE(call);
+    ids.insert(call->headers.at("x-call-id"));
+  }
+  EXPECT_EQ(ids, (std::set<std::string>{"a1", "b1"}));  // a2 has not been out, and waits for a1 still
+  for (Socket& each : again) each.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
   EXPECT_EQ(c.host.next().headers.at("x-call-id"), "a2");
 }
 
