Tests: the failing accept is played under sanitizers as well

A sanitizer's first look at an object takes a pipe (put down to that, not traced) and reports a fault where no descriptor is left.

Change: the ways that the test goes are gone once before the limit falls, and the skip is out.

--- a/tests/descriptors_test.cpp
+++ b/tests/descriptors_test.cpp
@@ -125,14 +125,17 @@
 // The system may have none even so: an accept fails again at once, and the relay waits a little and serves
 // on.
 TEST(DescriptorsGone, AnAcceptIsTriedAgain) {
-#if defined(__SANITIZE_ADDRESS__)
-  GTEST_SKIP()
-      << "the sanitizer's own look at an object takes a pipe, and reports a fault where it gets none";
-#endif
   Platform platform;
   Program program(config_json(platform.address(), {}));
   program.start();
   platform.open();
+  // Each way is gone once before: a sanitizer's first look at an object takes a pipe, and finds a fault where
+  // it gets none.
+  for (int i = 0; i < 20; ++i) {
+    Socket client = program.client();
+    client.send(kPing);
+    EXPECT_EQ(client.line(), "+PONG");
+  }
   const rlim_t few = held(program) + 2;
   const rlimit now{few, few};
   ASSERT_EQ(::prlimit(program.pid(), RLIMIT_NOFILE, &now, nullptr), 0);
