Tests share what they wrote twice; few_descriptors says what to do

Need: a last reading found FullDisk in parts_test and in inside.h, and a relay inside the test's process written again in shutdown_test; the warning few_descriptors named no action.

Change: both use inside.h; the warning's line has the action. Assertions are the same.

--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -178,7 +178,8 @@
     if (::setrlimit(RLIMIT_NOFILE, &raised) == 0) limit.rlim_cur = wanted;
   }
   if (limit.rlim_cur >= told) return told;
-  net::log::warn("few_descriptors", "told", told, "allowed", static_cast<size_t>(limit.rlim_cur));
+  net::log::warn("few_descriptors", "told", told, "allowed", static_cast<size_t>(limit.rlim_cur), "action",
+                 "raise the process's limit of open files, or tell limits.sockets as it is");
   return std::max(kFewestSockets / 2, static_cast<size_t>(limit.rlim_cur));
 }
 
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -1,7 +1,4 @@
 // The relay's parts that need no socket: configuration, requests, the list and the journal.
-#include <sys/resource.h>
-
-#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -10,6 +7,7 @@
 #include "config.h"
 #include "discovery.h"
 #include "errors.h"
+#include "inside.h"
 #include "journal.h"
 #include "peers.h"
 #include "resp.h"
@@ -296,21 +294,6 @@
   EXPECT_EQ(Journal(folder_, kDisk).remembered(), (std::map<std::string, std::string>{{"a", "9999"}}));
 }
 
-// While it stands the process's files cannot grow beyond a size.
-class FullDisk {
- public:
-  explicit FullDisk(size_t size) {
-    std::signal(SIGXFSZ, SIG_IGN);
-    ::getrlimit(RLIMIT_FSIZE, &before_);
-    const rlimit limit{size, before_.rlim_max};
-    ::setrlimit(RLIMIT_FSIZE, &limit);
-  }
-  ~FullDisk() { ::setrlimit(RLIMIT_FSIZE, &before_); }
-
- private:
-  rlimit before_{};
-};
-
 // Else a message that was handed back would be taken up again by the next process, and end twice.
 TEST_F(JournalTest, WritesWhatAFullDiskHeldBackOnceThereIsRoom) {
   for (const bool moved : {false, true}) {
@@ -320,7 +303,7 @@
       Journal journal(folder_, 1'000'000);
       for (const std::string id : {"a", "b"}) ASSERT_TRUE(journal.accepted(message(id), 1234));
       {
-        const FullDisk full(bytes().size());
+        const testing::FullDisk full(bytes().size());
         EXPECT_FALSE(journal.accepted(message("c"), 1234));
         journal.owed({"a", true, 500});
       }
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -5,17 +5,13 @@
 #include <boost/asio/io_context.hpp>
 #include <cerrno>
 #include <chrono>
-#include <cstdlib>
-#include <filesystem>
 #include <functional>
-#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "../relay/relay.h"  // tests have a relay.h of their own
 #include "clients.h"
-#include "config.h"
+#include "inside.h"
 #include "peers.h"
 
 namespace firspool::testing {
@@ -130,35 +126,30 @@
 // The whole relay: it stood still while its time to close came, and requests with it. It ends in the turn in
 // which nothing is open any more, not before the last of them has its answer.
 TEST(ShutdownOfTheRelay, EndsOnlyWhenEachClientHasItsAnswer) {
-  char folder[] = "/tmp/turntally-XXXXXX";
-  ASSERT_NE(::mkdtemp(folder), nullptr);
+  const Folder folder;
   Discovery discovery;
   Host host;
-  const auto config = config_json(discovery.address(), {member_json("s-1", host.address(), 7)});
-  {
-    boost::asio::io_context io;
-    std::optional<uint16_t> port;
-    relay::Relay relay(io, relay::parse_config(config.dump(), folder),
-                       [&](const relay::tcp::endpoint& address) { port = address.port(); });
-    while (!port) io.run_one();
-    relay.stop();
-    std::vector<Socket> late;
-    for (int i = 0; i < 3; ++i) {
-      late.push_back(Socket::connect(*port));
-      ASSERT_TRUE(late.back().send(kPing));
-    }
-    std::this_thread::sleep_for(std::chrono::milliseconds(600));  // the loop stands still: it closes at 0.5 s
-    std::thread clients([&] {
-      for (Socket& each : late) {
-        EXPECT_EQ(each.line(), "+PONG");
-        EXPECT_TRUE(each.ended());
-        each.close();
-      }
-    });
-    io.run();  // until it has ended by itself
-    clients.join();
+  Inside inside;
+  auto port = inside.port.get_future();
+  inside.create(config_json(discovery.address(), {member_json("s-1", host.address(), 7)}), folder.path);
+  while (port.wait_for(std::chrono::seconds(0)) != std::future_status::ready) inside.io.run_one();
+  inside.relay->stop();
+  std::vector<Socket> late;
+  const uint16_t at = port.get();
+  for (int i = 0; i < 3; ++i) {
+    late.push_back(Socket::connect(at));
+    ASSERT_TRUE(late.back().send(kPing));
   }
-  std::filesystem::remove_all(folder);
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));  // the loop stands still: it closes at 0.5 s
+  std::thread clients([&] {
+    for (Socket& each : late) {
+      EXPECT_EQ(each.line(), "+PONG");
+      EXPECT_TRUE(each.ended());
+      each.close();
+    }
+  });
+  inside.io.run();  // until it has ended by itself
+  clients.join();
 }
 
 }  // namespace
