Order: a key rests while others of a bundle keep its last message's call out

Lines at fault: Exchange::expire ends parts that are at their end alone (on purpose); Impl::fold(AttemptEnded) then let the key's turn go on after order_pause.

Change: a key's rest names the call after which it rests, and lasts until that call is over as well.

Promises.AKeyRestsWhileTheBundleOfItsLastMessageIsOut fails without it (seen).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -253,7 +253,10 @@
     now_ = now;
     out_ = &actions;
     for (const Event& event : events) std::visit([this](const auto& e) { fold(e); }, event);
-    std::erase_if(key_rests_, [now](const auto& rest) { return rest.second.first <= now; });
+    std::erase_if(key_rests_, [&](const auto& rest) {  // others of a bundle may keep its call out
+      const auto& [until, id, call] = rest.second;
+      return until <= now && !calls_.contains(call);
+    });
     forget_gone();
     wake_ = kNever;
     keep_watching();
@@ -468,7 +471,7 @@
     m.out = false;
     const bool hanging =
         e.outcome == Outcome::kTimeout || e.outcome == Outcome::kReset || e.outcome == Outcome::kCancelled;
-    if (m.rules.in_order && hanging) key_rests_[m.in.key] = {now_ + set_.order_pause, e.id};
+    if (m.rules.in_order && hanging) key_rests_[m.in.key] = {now_ + set_.order_pause, e.id, attempt.call};
     if (e.final || m.withdrawn) return end(e.id);
     if (e.outcome == Outcome::kMoot) return;
     m.repeat = true;
@@ -966,8 +969,8 @@
     if (!m.rules.in_order || m.in.key == 0) return true;
     if (turns_[m.in.key].front() != m.in.id) return false;
     const auto rest = key_rests_.find(m.in.key);
-    if (rest == key_rests_.end() || rest->second.second == m.in.id) return true;
-    wake(rest->second.first);
+    if (rest == key_rests_.end() || std::get<1>(rest->second) == m.in.id) return true;
+    if (const Time until = std::get<0>(rest->second); until > now_) wake(until);
     return false;
   }
 
@@ -1179,7 +1182,7 @@
   std::map<LaneKey, Lane*> watched_;  // in an outage, or with calls failed or overdue: judged in each step
   std::map<int, Pacer> tenant_pacers_;
   std::map<uint64_t, std::vector<uint64_t>> turns_;
-  std::map<uint64_t, std::pair<Time, uint64_t>> key_rests_;
+  std::map<uint64_t, std::tuple<Time, uint64_t, uint64_t>> key_rests_;  // until, after whom, its call
 };
 
 Policy::Policy(Settings settings, uint64_t seed) : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -157,6 +157,28 @@
   EXPECT_EQ(next[0].id, 2u);
 }
 
+// A part of a bundle may end alone: the others keep its call out.
+TEST(Promises, AKeyRestsWhileTheBundleOfItsLastMessageIsOut) {
+  Settings s = plain_settings();
+  s.classes[0].in_order = true;
+  s.kinds[0].batch = 5;
+  s.max_attempts = 1;
+  Relay relay(s);
+  Arrival a = relay.message(1, 0);
+  Arrival next = relay.message(2, 0);
+  a.key = next.key = 5;
+  const auto first = all_of<Send>(relay.step(0, {members({member(1)}), a, next, relay.message(3, 0)}));
+  ASSERT_EQ(first.size(), 2u);
+  const size_t a_at = first[0].id == 1 ? 0 : 1;
+  const auto alone = relay.step(kSecond, {ended(first[a_at], 0, Outcome::kTimeout, kSecond)});
+  EXPECT_TRUE(all_of<Send>(alone).empty());
+  EXPECT_TRUE(all_of<Send>(relay.idle(kSecond, 3 * kSecond)).empty());
+  const auto over = ended(first[1 - a_at], 0, Outcome::kTimeout, 3 * kSecond);
+  const auto second = all_of<Send>(relay.step(3 * kSecond, {over}));
+  ASSERT_EQ(second.size(), 1u);
+  EXPECT_EQ(second[0].id, 2u);
+}
+
 TEST(Promises, AWithdrawnMessageKeepsItsTurnWhileItsCallIsOut) {
   Settings s = plain_settings();
   s.classes[0].in_order = true;
