Cold budget: a lost call and an overdue one are an outage together

Traced: a rare caller's call timed out. That time-out raised the latency, so the next one was given 3.2 s in place of 1.4 s. No two calls were overdue at once and no three had failed in a row, so the relay had been told and held no outage; at the return it sent all that had come meanwhile with no ramp.

At fault: assess(), which counted overdue calls and failed calls apart, and held what rests on both for a suspicion.

Changed: a call in the row that got no answer counts beside the overdue ones, and such an outage is not taken back.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -683,14 +683,15 @@
       const bool lone = l.slow && crowd(pooled_rate(l));
       const bool left = l.streak > 0 && ready(l) == 0;
       const bool failed = dead || shut || lone || left;
-      if (failed || late >= kOverdue) {
+      // A call in the row that got no answer is as good as one that is overdue, and no suspicion alone.
+      if (failed || late + (l.slow ? 1 : 0) >= kOverdue) {
         go_out(l,
                dead   ? "calls fail"
                : shut ? "all refused"
                : lone ? "a call got no answer"
                : left ? "failed and left the list"
                       : "calls overdue",
-               !failed);
+               !failed && !l.slow);
       }
       return l.streak == 0 && late == 0;
     });
--- a/tests/cold_budget_test.cpp
+++ b/tests/cold_budget_test.cpp
@@ -263,8 +263,8 @@
 
 class ColdBudget : public ::testing::TestWithParam<Fleet> {};
 
-// Most plays keep the budget and its chance. Where relays learn of an outage in its last moments one in
-// fifty may go beyond, but none beyond what the platform puts down to chance.
+// Most plays keep the budget and its chance. Of many relays some learn of an outage in its last moments and
+// repeat then, and scouts meet by chance: one play in a hundred may go beyond, of few relays none here.
 TEST_P(ColdBudget, IsKeptByAllRelaysTogether) {
   int plays = 0;
   std::string beyond;
@@ -282,7 +282,8 @@
         p.batch = variant == 3 ? 20 : 1;
         p.drained = variant == 4 || variant == 5;
         if (variant == 6) p.out_for = 18 * kSecond;
-        for (int i = 0; i < GetParam().seeds; ++i) {
+        const bool rare = n == 1 && way == Way::kHangs && p.relays < 10;  // learns the least of the outage
+        for (int i = 0; i < (rare ? 20 : GetParam().seeds); ++i) {
           const uint64_t seed = 1000 * static_cast<uint64_t>(variant) + static_cast<uint64_t>(i) + 1;
           const Excess worst = World(p, seed).run();
           const std::string name = "N " + std::to_string(n) + ", way " +
@@ -297,7 +298,25 @@
       }
     }
   }
-  EXPECT_LE(count, plays / 50) << beyond;
+  EXPECT_LE(count, GetParam().relays < 10 ? 0 : plays / 100) << beyond;
+}
+
+// A rare caller seldom has two calls out that are overdue at once: one that got no answer counts as one.
+TEST(LostAndOverdue, MakeAnOutage) {
+  Relay relay(plain_settings());
+  relay.step(0, {members({member(1)})});
+  Time at = 0;
+  std::vector<Send> call;
+  for (uint64_t id = 1; id <= 11; ++id) {
+    if (id > 1) relay.step(at + 100'000, {ended(call.at(0), 0, Outcome::kOk)});
+    call = all_of<Send>(relay.step(at += kSecond, {relay.message(id, at)}));
+  }
+  at += call.at(0).timeout;
+  relay.step(at, {ended(call[0], 0, Outcome::kTimeout, call[0].timeout)});
+  const auto again = relay.idle(at + 10'000, at + 5 * kSecond);
+  EXPECT_EQ(all_of<Send>(again).size(), 1u);
+  ASSERT_EQ(all_of<Log>(again).size(), 1u);
+  EXPECT_NE(all_of<Log>(again)[0].text.find("calls overdue"), std::string::npos);
 }
 
 // The answer to a call from before the failure says nothing of the time after it: what is held while nothing
