Attempts that never began are none of the message's

Seen by reading: hopeless() counts each Send among max_attempts. A call whose connection is refused or that the relay may not start (a full disk, a told wait or a drain while it came up) is none for the platform: it counts a call once its last byte has come. With 6 attempts a message was given up with no call 0.3 s (full disk) to 1 s (refused) after it was handed in, or after a restart found it untried.

Ruled out: the wire of the simulator, where a moot attempt counts; there nothing changes, the field is true.

Changed: AttemptEnded says whether the call began. One that did not leaves the message its attempt, and is tried again after the random pause, as it would spin else. Its number is used up all the same, so that numbers stay unique. Retry tokens still bound repeats after connections that fail.

The relay does not pass the field yet.

--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -173,6 +173,7 @@
   Time took = 0;
   Time wait = 0;  // with kFull: the wait that was told, 0 if none
   std::vector<float> report;
+  bool began = true;  // whether a byte of it was written: else it is none of the message's attempts
 };
 
 struct ProbeEnded {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -473,10 +473,12 @@
         e.outcome == Outcome::kTimeout || e.outcome == Outcome::kReset || e.outcome == Outcome::kCancelled;
     if (m.rules.in_order && hanging) key_rests_[m.in.key] = {now_ + set_.order_pause, e.id, attempt.call};
     if (e.final || m.withdrawn) return end(e.id);
-    if (e.outcome == Outcome::kMoot) return;
-    m.repeat = true;
+    const bool moot = e.outcome == Outcome::kMoot;
+    if (moot && e.began) return;
+    if (!e.began) ++m.most_attempts;  // no call was made: the message has this one still
+    m.repeat = !moot;
     m.not_before = now_ + random_.between(kPauseLeast, kPauseMost);
-    const bool unseen = e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed;
+    const bool unseen = moot || e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed;
     if (unseen || m.in.ran) return;
     m.in.ran = true;
     m.in.ran_sent = attempt.sent;
--- a/tests/rules_checker.h
+++ b/tests/rules_checker.h
@@ -34,6 +34,7 @@
   struct Held {
     Arrival in;
     std::vector<Sent> sent;
+    int unbegun = 0;  // attempts of which no byte was written
     bool ended = false;
     uint64_t order = 0;
   };
