Tests: approved transcript of a shutdown with requests in flight

It shows a relay that is told to end while a call is out, a request is half sent and a client rests. The call that is answered is settled, the half request becomes whole and is taken on, each client gets the relay's end between two requests, a request that crosses that end is thrown away, and the call that is not answered is made again by the next process.

--- a/tests/transcript_test.cpp
+++ b/tests/transcript_test.cpp
@@ -360,6 +360,77 @@
   t.check();
 }
 
+TEST(Transcripts, AShutdownMeetsRequestsInFlight) {
+  Transcript t("shutdown_in_flight");
+  t.title("A relay is told to end while a call is out, a request is half sent and a client rests.");
+  t.place("ms", R"(x-budget: (\d+)m)", false);
+  Host receiver;
+  Discovery discovery;
+  Program relay(config_json(discovery.address(), {member_json("s-1", receiver.address(), 7)}));
+  relay.log_at("debug");
+  relay.start();
+  const std::string facts = "c=keyed,d=60000,k=5c0f6e1a2b3d4c59,dest=7";
+  const auto send = [&](Socket& client, const std::string& name, const std::string& bytes,
+                        const std::string& what) {
+    EXPECT_TRUE(client.send(bytes));
+    t.said(name, "relay", what);
+  };
+  const auto put = [&](Socket& client, const std::string& name, const std::string& id) {
+    send(client, name, put_bytes(id, facts, "ring"), "MSG.PUT " + id + " " + facts + " ring");
+  };
+  const auto answer = [&](Socket& client, const std::string& name) { t.said("relay", name, client.line()); };
+  const auto call = [&] {
+    const Request request = receiver.next();
+    t.said("relay", "receiver", request.first, "x-call-id: " + request.headers.at("x-call-id"));
+  };
+  const auto served = [&] {
+    receiver.answer("200");
+    t.said("receiver", "relay", "200");
+    t.said("relay", "log", relay.log_line("end"));
+  };
+  const auto ended = [&](Socket& client, const std::string& name) {
+    t.said("relay", name, client.ended() ? "its end" : "more");
+  };
+  Socket first = relay.client();
+  put(first, "first client", "00000000000000a1");
+  answer(first, "first client");
+  call();
+  Socket second = relay.client();
+  const std::string half = put_bytes("00000000000000a2", facts, "ring");
+  send(second, "second client", half.substr(0, 40), "half of MSG.PUT 00000000000000a2 " + facts + " ring");
+  Socket third = relay.client();
+  send(third, "third client", "*1\r\n$4\r\nPING\r\n", "PING");
+  answer(third, "third client");
+  t.note("the relay is told to end");
+  relay.signal(SIGTERM);
+  t.said("relay", "log", relay.log_line("stopping"));
+  served();
+  send(second, "second client", half.substr(40), "the other half");
+  answer(second, "second client");
+  call();
+  for (auto* client : {&first, &second}) {
+    const std::string name = client == &first ? "first client" : "second client";
+    ended(*client, name);
+    client->close();
+  }
+  ended(third, "third client");
+  put(third, "third client", "00000000000000a3");
+  t.note("that crosses the relay's end: it is thrown away. The last call is not answered");
+  t.note("the relay ends with status " + std::to_string(relay.wait()));
+  ended(third, "third client");
+  receiver.drop();
+  relay.start();
+  t.note("the relay is started again");
+  call();
+  served();
+  Socket again = relay.client();
+  put(again, "third client", "00000000000000a3");
+  answer(again, "third client");
+  call();
+  served();
+  t.check();
+}
+
 TEST(Transcripts, ConfigurationsAreRefused) {
   Transcript t("configurations_refused");
   t.plain();  // all of it is the same in each run
