HTTP server: an answer is not reset, and a connection with a call on it keeps its place

Found by reading. Four faults of the server that the registry, the controller and the lab share:

- An answer to a body over the limit was followed by a close over unread bytes: a reset, which fails the caller's next send before it has read the answer (http_call then has no answer at all).
The same for an answer with a malformed request behind it, and for bytes behind an answer that ends the connection.
Lines: read() and reply() went straight to end().
Now the sending side ends, and what comes is thrown away until the caller ends too, for 2 s and four times the body's limit at most.
- At the limit the oldest connection went, also with its call not answered yet.
Now the oldest without a call goes (what came with the newcomer is heard first), else the oldest stream; while each waits for its answer no other is let in.
- A stream that went for the limit never told its owner: accept() used close(), which is the owner's own way out.
The registry's hub kept such a watch for good, with its connection, and counted it.
- An accept that had been done and waited in the queue when the server ended touched the server.
Two connections that come at once are enough (the second is accepted ahead of the loop); the lab stops servers while its loop runs.

The lingering close is net/linger, which the relay's operators' address uses as well, now bounded in bytes too.

--- a/net/http.cpp
+++ b/net/http.cpp
@@ -1,12 +1,16 @@
 #include "http.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <cctype>
 #include <cstdio>
+#include <iterator>
+
+#include "linger.h"
 
 namespace firspool::net {
 namespace {
@@ -15,6 +19,7 @@
 using Error = boost::system::error_code;
 
 constexpr size_t kMostHead = 16 * 1024;
+constexpr size_t kMostLinger = 4;  // bodies' limits that are thrown away behind the last answer
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 
 std::string decoded(std::string_view text) {
@@ -75,6 +80,7 @@
 
   void read() {
     if (owner_ == nullptr) return;
+    state_ = State::kReading;
     parser_.emplace();
     parser_->header_limit(kMostHead);
     parser_->body_limit(owner_->limits_.body);
@@ -83,12 +89,21 @@
       if (self->owner_ == nullptr) return;
       if (error == http::error::body_limit)
         return self->reply({413, "{\"error\":\"too long\"}\n", "", {}}, false);
-      if (error) return self->end();
+      if (error) return self->linger();  // an earlier answer may not be read yet
       self->called();
     });
   }
 
-  bool idle() const override { return owner_ != nullptr && streaming_ && out_ == nullptr; }
+  // It is owed nothing: no call has come whole, and nothing is unread.
+  bool spare() const {
+    Error error;
+    return state_ == State::kReading && !parser_->is_done() &&
+           (stream_.socket().available(error) == 0 || error);
+  }
+
+  bool streams() const { return state_ == State::kStreaming; }
+
+  bool idle() const override { return owner_ != nullptr && streams() && out_ == nullptr; }
 
   void write(Shared chunk) override {
     out_ = std::move(chunk);
@@ -111,6 +126,18 @@
     end();
   }
 
+  void end() {
+    if (owner_ == nullptr) return;
+    const auto self = shared_from_this();
+    HttpServer& owner = *std::exchange(owner_, nullptr);
+    Error ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream_.close();
+    owner.open_.erase(place);
+    written_ = nullptr;
+    if (const auto ended = std::exchange(ended_, nullptr)) ended();
+  }
+
   void orphan() {
     owner_ = nullptr;
     written_ = nullptr;
@@ -119,6 +146,8 @@
   }
 
  private:
+  enum class State { kReading, kAnswering, kStreaming, kLingering };
+
   // Answers may come late, when the connection has long gone or has been closed.
   class Answer : public HttpAnswer {
    public:
@@ -147,6 +176,7 @@
   };
 
   void called() {
+    state_ = State::kAnswering;
     const bool keep_alive = parser_->get().keep_alive();
     const HttpRequest request = request_of(parser_->get());
     stream_.expires_never();
@@ -155,6 +185,7 @@
 
   void reply(HttpReply reply, bool keep_alive) {
     if (owner_ == nullptr) return;
+    state_ = State::kAnswering;
     answer_ = {};
     answer_.version(11);
     answer_.result(static_cast<unsigned>(reply.status));
@@ -166,13 +197,19 @@
     stream_.expires_after(owner_->limits_.write);
     http::async_write(stream_, answer_, [self = shared_from_this()](const Error& error, size_t) {
       if (self->owner_ == nullptr) return;
-      if (error || !self->answer_.keep_alive()) return self->end();
-      self->read();
+      if (error) return self->end();
+      self->answer_.keep_alive() ? self->read() : self->linger();
     });
   }
 
+  void linger() {
+    state_ = State::kLingering;
+    net::linger(stream_, {kMostLinger * owner_->limits_.body, owner_->limits_.linger},
+                [self = shared_from_this()] { self->end(); });
+  }
+
   void begin(const HttpReply& head, std::function<void()> written, std::function<void()> ended) {
-    streaming_ = true;
+    state_ = State::kStreaming;
     written_ = std::move(written);
     ended_ = std::move(ended);
     std::string text = "HTTP/1.1 200 OK\r\nContent-Type: " + head.type + "\r\nTransfer-Encoding: chunked\r\n";
@@ -190,24 +227,12 @@
                                      });
   }
 
-  void end() {
-    if (owner_ == nullptr) return;
-    const auto self = shared_from_this();
-    HttpServer& owner = *std::exchange(owner_, nullptr);
-    Error ignored;
-    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    stream_.close();
-    owner.open_.erase(place);
-    written_ = nullptr;
-    if (const auto ended = std::exchange(ended_, nullptr)) ended();
-  }
-
   HttpServer* owner_;
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> answer_;
-  bool streaming_ = false;
+  State state_ = State::kReading;
   Shared out_;
   std::function<void()> written_;
   std::function<void()> ended_;
@@ -226,20 +251,41 @@
 }
 
 void HttpServer::accept() {
-  acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted) return;
+  acceptor_.async_accept([this, alive = std::weak_ptr(alive_)](const Error& error, tcp::socket socket) {
+    if (alive.expired() || error == boost::asio::error::operation_aborted) return;
     if (error) {  // out of descriptors: an accept at once would spin
       pause_.expires_after(kAcceptPause);
-      pause_.async_wait([this](const Error& stopped) {
-        if (!stopped) accept();
+      pause_.async_wait([this, alive](const Error& stopped) {
+        if (!alive.expired() && !stopped) accept();
       });
       return;
     }
-    if (open_.size() >= limits_.connections) std::shared_ptr<Session>(open_.front())->close();
     auto session = std::make_shared<Session>(*this, std::move(socket));
     session->place = open_.insert(open_.end(), session);
     session->read();
-    accept();
+    if (open_.size() <= limits_.connections) return accept();
+    boost::asio::post(acceptor_.get_executor(), [this, alive] {
+      if (!alive.expired()) make_room(false);
+    });
+  });
+}
+
+// Connections that ask nothing must not shut out one that does. What had come when the newcomer did is heard
+// first: this runs behind its handlers. The newcomer itself has a pause to say something.
+void HttpServer::make_room(bool newest) {
+  if (open_.size() > limits_.connections) {
+    const auto end = newest ? open_.end() : std::prev(open_.end());
+    const auto first = [&](bool (Session::*is)() const) {
+      return std::find_if(open_.begin(), end, [is](const auto& session) { return ((*session).*is)(); });
+    };
+    auto goes = first(&Session::spare);
+    if (goes == end) goes = first(&Session::streams);
+    if (goes != end) std::shared_ptr<Session>(*goes)->end();
+  }
+  if (open_.size() <= limits_.connections) return accept();
+  pause_.expires_after(kAcceptPause);
+  pause_.async_wait([this, alive = std::weak_ptr(alive_)](const Error& stopped) {
+    if (!alive.expired() && !stopped) make_room(true);
   });
 }
 
--- a/net/http.h
+++ b/net/http.h
@@ -60,10 +60,13 @@
 };
 
 struct HttpLimits {
-  size_t connections = 12'000;  // beyond it the one that has been idle longest goes
+  // Beyond it the oldest that has no call on it goes, else the oldest stream; while each waits for its answer
+  // no other is let in.
+  size_t connections = 12'000;
   size_t body = 8 * 1024 * 1024;
   std::chrono::milliseconds idle{60'000};   // between requests, and for the bytes of one
   std::chrono::milliseconds write{30'000};  // for an answer, or a chunk, that is not read
+  std::chrono::milliseconds linger{2'000};  // for the caller's close, after the last answer
 };
 
 class HttpServer {
@@ -81,6 +84,7 @@
  private:
   class Session;
   void accept();
+  void make_room(bool newest);  // whose turn to go may be the newest's as well
 
   tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
@@ -88,6 +92,7 @@
   Handle handle_;
   std::list<std::shared_ptr<Session>> open_;  // oldest first
   size_t unread_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // what is queued may outlive the server
 };
 
 struct HttpCall {
--- /dev/null
+++ b/net/linger.cpp
@@ -0,0 +1,41 @@
+#include "linger.h"
+
+#include <array>
+#include <memory>
+
+#include "address.h"
+
+namespace firspool::net {
+namespace {
+
+using Error = boost::system::error_code;
+
+struct Linger : std::enable_shared_from_this<Linger> {
+  boost::beast::tcp_stream& stream;
+  size_t left;
+  std::function<void()> over;
+  std::array<char, 16 * 1024> rest;
+
+  Linger(boost::beast::tcp_stream& ended, size_t bytes, std::function<void()> then)
+      : stream(ended), left(bytes), over(std::move(then)) {}
+
+  void read() {
+    stream.async_read_some(boost::asio::buffer(rest),
+                           [self = shared_from_this()](const Error& error, size_t count) {
+                             if (error || count > self->left) return self->over();
+                             self->left -= count;
+                             self->read();
+                           });
+  }
+};
+
+}  // namespace
+
+void linger(boost::beast::tcp_stream& stream, LingerLimits most, std::function<void()> over) {
+  Error ignored;
+  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  stream.expires_after(most.time);
+  std::make_shared<Linger>(stream, most.bytes, std::move(over))->read();
+}
+
+}  // namespace firspool::net
--- a/relay/control.cpp
+++ b/relay/control.cpp
@@ -10,6 +10,8 @@
 #include <optional>
 #include <variant>
 
+#include "net/linger.h"
+
 namespace firspool::relay {
 namespace {
 
@@ -22,6 +24,7 @@
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 constexpr size_t kMostHead = 8 * 1024;
 constexpr size_t kMostBody = 8 * 1024;  // no call needs one
+constexpr size_t kMostLinger = 16 * 1024 * 1024;
 
 // The call that a request makes; else the answer to what is none.
 std::variant<OperatorCall, OperatorReply> parse_call(http::verb method, std::string_view target) {
@@ -150,23 +153,12 @@
       if (self->owner_ == nullptr) return;
       if (error) return self->close();
       self->answering_ = false;
-      Error ignored;
-      self->stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-      self->stream_.expires_after(kLinger);
-      self->linger();
+      net::linger(self->stream_, {kMostLinger, kLinger}, [self] {
+        if (self->owner_ != nullptr) self->close();
+      });
     });
   }
 
-  // A close with bytes unread would be a reset, which may overtake the answer.
-  void linger() {
-    buffer_.clear();
-    stream_.async_read_some(buffer_.prepare(kMostBody),
-                            [self = shared_from_this()](const Error& error, size_t) {
-                              if (self->owner_ == nullptr) return;
-                              error ? self->close() : self->linger();
-                            });
-  }
-
   Control* owner_;
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_{kMostHead + kMostBody};
