--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -160,7 +160,8 @@
     const int number = static_cast<int>(in.number());
     const Time sent = in.number();
     entry.attempts = number + 1;
-    entry.unsettled[number] = {sent, static_cast<int>(in.number())};
+    Sent& attempt = entry.unsettled[number] = {sent, static_cast<int>(in.number()), ""};
+    if (in.more()) attempt.zone_name = in.text();  // not in older records
   } else if (kind == kNeverRan) {
     entry.unsettled.erase(static_cast<int>(in.number()));
   } else if (kind == kOwed) {
@@ -244,10 +245,13 @@
   return false;
 }
 
-bool Journal::attempt(const std::string& id, int number, Time sent, int zone) {
+bool Journal::attempt(const std::string& id, int number, Time sent, int zone, const std::string& zone_name) {
   const auto place = places_.find(id);
   if (place == places_.end()) return false;
-  const std::string payload = Writer(kAttempt, id).number(number).number(sent).number(zone).payload();
+  Writer out(kAttempt, id);
+  out.number(number).number(sent).number(zone);
+  if (!zone_name.empty()) out.text(zone_name);
+  const std::string& payload = out.payload();
   if (append(id, payload)) return true;
   std::string& kept = live_[place->second];  // the call does not start: a compaction must not tell of it
   const size_t record = kHeader + payload.size();
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -12,11 +12,17 @@
 
 namespace firspool::relay {
 
+struct Sent {  // an attempt that may have run
+  Time at = 0;
+  int zone = 0;           // by its place in the settings of then
+  std::string zone_name;  // empty: not told
+};
+
 struct Recovered {
   Handed message;
   Time due = 0;  // wall clock, as all times here
   int attempts = 0;
-  std::map<int, std::pair<Time, int>> unsettled;  // attempts that may have run: when sent, to which zone
+  std::map<int, Sent> unsettled;  // attempts that may have run
   std::optional<Notice> owed;
   int64_t rules = 0;  // as told with it; 0: not told
 };
@@ -40,7 +46,7 @@
   // its class allows, by a number that the caller remembers.
   bool accepted(const Handed& message, Time due, int64_t rules = 0);
   // False: it could not be written, and the call must not start.
-  bool attempt(const std::string& id, int number, Time sent, int zone);
+  bool attempt(const std::string& id, int number, Time sent, int zone, const std::string& zone_name = {});
   void never_ran(const std::string& id, int number);
   void owed(const Notice& notice);
   void done(const std::string& id);
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -441,10 +441,10 @@
       unsettled.erase(away->second.attempt);  // its end is still to come
     }
     if (!unsettled.empty()) {
-      const auto& [sent, zone] = unsettled.begin()->second;
+      const Sent& sent = unsettled.begin()->second;
       in.ran = true;
-      in.ran_sent = now + (sent - wall);
-      in.ran_zone = zone;
+      in.ran_sent = now + (sent.at - wall);
+      in.ran_zone = zone_of(sent);
     }
     Kept kept{in, rules_of(entry)};
     if (away != away_.end() && !resume_away(kept, away->second)) continue;
@@ -454,6 +454,14 @@
   std::erase_if(away_, [](const auto& away) { return away.second.number == 0; });
 }
 
+// Settings may list zones in another order than before. One that they do not name takes no repeat.
+int Relay::zone_of(const Sent& sent) const {
+  if (sent.zone_name.empty()) return sent.zone;  // of a version before
+  const auto& zones = config_.names.zones;
+  const auto it = std::find(zones.begin(), zones.end(), sent.zone_name);
+  return it == zones.end() ? -1 : static_cast<int>(it - zones.begin());
+}
+
 // What the process before has out. The rest of what it gives is heard while clients are served.
 void Relay::take_over() {
   uint64_t number = 0;
@@ -751,7 +759,10 @@
   if (wait != waits_.end() && wait->second > steady_now()) return false;
   net::log::debug("call", "id", held->second.handed.id, "attempt", call.attempt, "destination",
                   held->second.handed.destination, "host", host->id, "timeout_ms", call.timeout / kMs);
-  return journal_.attempt(held->second.handed.id, call.attempt, wall_now(), host->member.zone);
+  const auto zone = static_cast<size_t>(host->member.zone);
+  const auto& zones = config_.names.zones;
+  return journal_.attempt(held->second.handed.id, call.attempt, wall_now(), host->member.zone,
+                          zone < zones.size() ? zones[zone] : "");
 }
 
 void Relay::ended(const AttemptEnded& end, bool began) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -81,6 +81,7 @@
   ClassSettings rules_of(const Recovered& entry) const;
   void forget_rules();
   void arrive(const std::vector<Kept>& messages);
+  int zone_of(const Sent& sent) const;
   void open();
   void resume();
   void take_over();
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -221,7 +221,7 @@
     Journal journal(folder_, 1'000'000);
     for (const std::string id : {"a", "b", "c", "d"}) ASSERT_TRUE(journal.accepted(message(id), 1234));
     journal.attempt("a", 0, 100, 1);
-    journal.attempt("a", 1, 200, 0);
+    journal.attempt("a", 1, 200, 0, "north");
     journal.attempt("b", 0, 100, 1);
     journal.never_ran("b", 0);
     journal.owed({"c", true, 500});
@@ -234,7 +234,10 @@
   EXPECT_EQ(left[0].message.tenant, "acme");
   EXPECT_EQ(left[0].due, 1234);
   EXPECT_EQ(left[0].attempts, 2);
-  EXPECT_EQ(left[0].unsettled.at(0), std::make_pair(Time{100}, 1));
+  EXPECT_EQ(left[0].unsettled.at(0).at, 100);
+  EXPECT_EQ(left[0].unsettled.at(0).zone, 1);  // as older versions told it
+  EXPECT_EQ(left[0].unsettled.at(0).zone_name, "");
+  EXPECT_EQ(left[0].unsettled.at(1).zone_name, "north");
   EXPECT_EQ(left[1].attempts, 1);
   EXPECT_TRUE(left[1].unsettled.empty());
   ASSERT_TRUE(left[2].owed);
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -164,6 +164,26 @@
   s.host.answer("200");
 }
 
+// A repeat stays with the zone that remembers its key, whatever place the settings give that zone now.
+TEST(Recovery, KnowsAZoneByItsName) {
+  Restarted s;
+  Host other;
+  auto far = member_json("s-1", s.host.address(), 7);
+  far["locality"] = "b";
+  s.config["settings"]["azs"] = {"a", "b"};
+  s.config["known"] = list_json(1, true, {far});
+  s.categories()[1]["key_scope"] = "zone";
+  s.program.configure(s.config.dump());
+  s.program.start();
+  EXPECT_EQ(s.put("m-keyed", facts("keyed")), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "m-keyed");
+  s.config["settings"]["azs"] = {"b", "a"};
+  s.config["known"] = list_json(2, true, {far, member_json("s-2", other.address(), 7)});
+  s.restart();
+  EXPECT_EQ(id_of(s.host.next()), "m-keyed");
+  s.host.answer("200");
+}
+
 // It held as much as it may. All of it is tried, and none of it given back for want of room.
 TEST(Recovery, TriesAllThatItHeldWhenItWasFull) {
   Restarted s;
