Hand-over: the zone of a call whose host is gone is not forgotten

Seen by reading: a message whose call is out in the process before, at a host that is listed no more, is told to the module once that call has ended (away_ended). It then may have run, but its zone was left at 0: a keyed message that has to stay in its zone was repeated in the first zone of the settings.

Lines at fault: Relay::resume erased the attempt with its zone before anybody read it. Change: the zone is taken from the record first.

Measured: Handover.KnowsTheZoneOfACallWhoseHostIsGone fails without it (no call comes at the host of that zone within 30 s), and passes with it.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -438,7 +438,9 @@
     }
     if (away != away_.end()) {
       held.attempts = in.attempts = std::max(in.attempts, away->second.attempt + 1);
-      unsettled.erase(away->second.attempt);  // its end is still to come
+      const auto out = unsettled.find(away->second.attempt);
+      in.ran_zone = zone_of(out->second);  // where its host is listed no more
+      unsettled.erase(out);                // its end is still to come
     }
     if (!unsettled.empty()) {
       const Sent& sent = unsettled.begin()->second;
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -68,9 +68,9 @@
     while (!asked && io.run_one_for(std::chrono::milliseconds(kDeadlineMs)) > 0) continue;
     ASSERT_TRUE(asked);
   }
-  void give_call(const std::string& id, int attempt) {
+  void give_call(const std::string& id, int attempt, const std::string& host = "s-1") {
     const nlohmann::json call = {
-        {"host", "s-1"}, {"since", relay::steady_now()}, {"messages", {{id, attempt}}}};
+        {"host", host}, {"since", relay::steady_now()}, {"messages", {{id, attempt}}}};
     EXPECT_TRUE(handover.give(Parcel::kCall, call.dump()));
   }
   void give_listener() { EXPECT_TRUE(handover.give(Parcel::kListener, "", listener.fd())); }
@@ -352,6 +352,37 @@
   EXPECT_EQ(last.next().kind, Parcel::kEnded);
 }
 
+// Its repeat stays with the zone where it may have run.
+TEST(Handover, KnowsTheZoneOfACallWhoseHostIsGone) {
+  Side s;
+  Host other;
+  auto far = member_json("s-2", other.address(), 7);
+  far["locality"] = "b";
+  s.config["known"]["members"].push_back(far);
+  s.config["settings"]["azs"] = {"a", "b"};
+  s.config["settings"]["categories"][1]["key_scope"] = "zone";
+  Program next(s.config);
+  {
+    Journal journal(next.state(), kDisk);
+    const auto due = relay::wall_now() + 60'000'000;
+    ASSERT_TRUE(journal.accepted({"m-1", "keyed", "key", 7, 0, "body", ""}, due));
+    ASSERT_TRUE(journal.attempt("m-1", 0, relay::wall_now(), 1, "b"));
+  }
+  Before before(next.state());
+  auto started = begin(next);
+  before.await_asked();
+  ASSERT_TRUE(before.handover.give_folder());
+  before.give_call("m-1", 0, "s-gone");
+  before.give_listener();
+  started.get();
+  const nlohmann::json ended = {{"id", "m-1"},  {"outcome", 1}, {"final", false},
+                                {"took", 1},    {"wait", 0},    {"report", nlohmann::json::array()},
+                                {"began", true}};
+  EXPECT_TRUE(before.handover.give(Parcel::kEnded, ended.dump()));
+  EXPECT_EQ(id_of(other.next()), "m-1");
+  other.answer("200");
+}
+
 TEST(Handover, ServesAClientThatComesWhenItsDoorIsShut) {
   Side s;
   Program next(s.config);
