--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -790,7 +790,9 @@
       journal_.never_ran(held->second.handed.id, end.attempt);
     }
   }
-  happened(end);
+  AttemptEnded told = end;
+  told.began = began;
+  happened(std::move(told));
   back(end.endpoint);
 }
 
@@ -869,6 +871,7 @@
       moot.id = send->id;
       moot.endpoint = send->endpoint;
       moot.outcome = Outcome::kMoot;
+      moot.began = false;
       moot.final = held == held_.end();  // given back in this very turn for want of room
       if (!moot.final) moot.attempt = held->second.attempts++;
       return happened(std::move(moot));
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -22,8 +22,7 @@
 
 // Retry bucket: a served call earns a tenth, so repeats stay under a tenth when failures are common.
 constexpr int kToken = 10;  // in parts; a served call earns one
-// Full at the start: N retries ride out short troubles. For each message of a bundle: all are refused at
-// once.
+// Full at the start, for each message of a bundle: N retries ride out short troubles.
 constexpr int kBucketCap = 10 * kToken;
 constexpr Time kPauseLeast = 20 * kMs;  // a repeat's random pause: long enough to leave the moment of failure
 constexpr Time kPauseMost = 250 * kMs;
@@ -254,8 +253,7 @@
     out_ = &actions;
     for (const Event& event : events) std::visit([this](const auto& e) { fold(e); }, event);
     std::erase_if(key_rests_, [&](const auto& rest) {  // others of a bundle may keep its call out
-      const auto& [until, id, call] = rest.second;
-      return until <= now && !calls_.contains(call);
+      return std::get<0>(rest.second) <= now && !calls_.contains(std::get<2>(rest.second));
     });
     forget_gone();
     wake_ = kNever;
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -460,6 +460,35 @@
   s.host.answer("200");
 }
 
+// On a full disk no call can be put on record, and none starts. That uses up no attempt: each message is
+// tried once there is room, or ends at its time.
+TEST(Recovery, UsesUpNoAttemptOnAFullDisk) {
+  for (const bool alone : {true, false}) {
+    Restarted s;
+    s.config["settings"]["bounds"]["max_attempts"] = 1;
+    const Folder folder;
+    const auto due = relay::wall_now() + 2'000'000;
+    {
+      Journal journal(folder.path, kDisk);
+      ASSERT_TRUE(journal.accepted({"m-short", "safe", "", 7, 0, "body", ""}, due));
+      if (!alone) {
+        ASSERT_TRUE(journal.accepted({"m-held", "safe", "", 7, 0, "body", ""}, due + 60'000'000));
+      }
+    }
+    Inside relay;
+    {
+      const FullDisk full(std::filesystem::file_size(folder.path / "journal"));
+      relay.create(s.config, folder.path);
+      relay.run();
+      EXPECT_EQ(s.discovery.notice().at("id"), "m-short");
+      EXPECT_GE(relay::wall_now(), due - 300'000);
+    }
+    if (alone) continue;
+    EXPECT_EQ(id_of(s.host.next()), "m-held");
+    s.host.answer("200");
+  }
+}
+
 // Nothing new is taken on; what is there stays, and can be tried once there is room.
 TEST(Recovery, BeginsOnAFullDisk) {
   Restarted s;
