Recovery: a key in order keeps its pause over a kill and an upgrade

Seen in the test: an unsafe message in order that was out at a kill is failed by the next process, and the next message of its key went out 0.6 s after it in place of order_pause later; the call may still run. The same where the call had been reset or timed out before the kill (0.4 s), and over an upgrade (0.1 s).

Checked: the module starts the pause with an attempt's end (AttemptEnded), and a recovered message has none; a message that has ended is not recovered at all. Lines at fault: Relay::resume, and nothing that outlives the process in Relay::ended.

A restart tells the module of such a call as one that was out and is now given up: the message's own, or, where that is over, of a message that is there for this alone. No health of a host is learnt from it. Without order_pause nothing changes.

Measured: Recovery.KeepsThePauseOfAKeyInOrder (out at a kill, over at a kill, killed twice, over at an upgrade; pause 3 s): all four fail without it (a2 ahead of b1), and pass with it.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -18,6 +18,7 @@
 const std::string kSuspended = "suspended ";
 const std::string kRules = "rules ";  // what a class allows, by number: messages name theirs
 const std::string kClass = "class ";  // the same by the class's name, for messages of versions before
+const std::string kRest = "rest ";    // by key: until when what is in order waits for a call that may run yet
 const std::string kRevision = "revision";
 const std::string kIdentity = "identity";
 const std::string kDestinations = "destinations";
@@ -237,10 +238,9 @@
 }
 
 // Where nothing at all is known it may run once.
-ClassSettings Relay::rules_of(const Recovered& entry) const {
-  const std::string& name = entry.message.message_class;
+ClassSettings Relay::rules_of(const std::string& name, int64_t number) const {
   const auto& facts = journal_.remembered();
-  const auto known = facts.find(kRules + std::to_string(entry.rules));
+  const auto known = facts.find(kRules + std::to_string(number));
   if (known != facts.end()) return read_class(name, known->second);
   if (const int now = class_of(name); now >= 0) return config_.settings.classes[now];
   const auto before = facts.find(kClass + name);
@@ -418,6 +418,22 @@
   const Time now = steady_now();
   const Time wall = wall_now();
   std::vector<Kept> arrivals;
+  std::vector<AttemptEnded> ends;
+  const auto& facts = journal_.remembered();
+  for (auto it = facts.lower_bound(kRest); it != facts.end() && it->first.starts_with(kRest); ++it) {
+    if (std::stoll(it->second) <= wall) continue;
+    Kept over;  // its message may be over, and is here for its call alone
+    over.rules.in_order = true;
+    over.in.id = ++last_number_;
+    over.in.tenant = -1;
+    over.in.key = std::stoull(it->first.substr(kRest.size()));
+    over.in.attempts = 1;
+    auto end = cut_off(over.in);
+    if (!end) continue;
+    end->final = true;
+    ends.push_back(std::move(*end));
+    arrivals.push_back(std::move(over));
+  }
   for (const Recovered& entry : journal_.recovered()) {
     if (entry.owed) {
       notices_.add(*entry.owed);
@@ -456,15 +472,54 @@
       in.ran_sent = now + (sent.at - wall);
       in.ran_zone = zone_of(sent);
     }
-    Kept kept{in, rules_of(entry)};
+    Kept kept{in, rules_of(entry.message.message_class, entry.rules)};
+    if (in.ran && away == away_.end() && rests(kept.rules, in.key)) {
+      if (auto end = cut_off(kept.in)) ends.push_back(std::move(*end));
+      rest(in.key);
+    }
     if (away != away_.end() && !resume_away(kept, away->second)) continue;
     arrivals.push_back(std::move(kept));
   }
   if (held_.size() > static_cast<size_t>(config_.settings.max_open)) last_over_ = last_number_;
   arrive(arrivals);
+  for (AttemptEnded& end : ends) happened(std::move(end));
   std::erase_if(away_, [](const auto& away) { return away.second.number == 0; });
 }
 
+// For the module a call that ended with the process, or in it, ends now: what comes later under its key
+// waits. The host that it went to is not known, and nothing is learnt of the one that stands for it.
+std::optional<AttemptEnded> Relay::cut_off(Arrival& in) const {
+  const auto& hosts = directory_.hosts();
+  const auto host = std::find_if(hosts.begin(), hosts.end(), [](const auto& entry) {
+    return entry.second.member.listing != Listing::kGone;
+  });
+  if (host == hosts.end()) return {};
+  constexpr uint64_t kCutOff = uint64_t{1} << 62;  // apart from the calls that are out
+  in.out = Arrival::Out{host->first, in.ran_sent, kCutOff | in.id};
+  AttemptEnded end;
+  end.id = in.id;
+  end.attempt = in.attempts - 1;
+  end.endpoint = host->first;
+  end.outcome = Outcome::kCancelled;
+  return end;
+}
+
+bool Relay::rests(const ClassSettings& rules, uint64_t about) const {
+  return rules.in_order && about != 0 && config_.settings.order_pause > 0;
+}
+
+// The module holds what comes later under the key; the next process has to.
+void Relay::rest(uint64_t about) {
+  const Time wall = wall_now();
+  std::vector<std::string> over;
+  const auto& facts = journal_.remembered();
+  for (auto it = facts.lower_bound(kRest); it != facts.end() && it->first.starts_with(kRest); ++it) {
+    if (std::stoll(it->second) <= wall) over.push_back(it->first);
+  }
+  for (const std::string& name : over) journal_.remember(name, "");
+  journal_.remember(kRest + std::to_string(about), std::to_string(wall + config_.settings.order_pause));
+}
+
 // Settings may list zones in another order than before. One that they do not name takes no repeat.
 int Relay::zone_of(const Sent& sent) const {
   if (sent.zone_name.empty()) return sent.zone;  // of a version before
@@ -793,6 +848,11 @@
                     held->second.handed.destination, "host", host == nullptr ? "" : host->id.c_str(),
                     "outcome", name_of(end.outcome), "took_ms", end.took / kMs, "wait_ms", end.wait / kMs,
                     "final", static_cast<int>(end.final));
+    const bool hanging = end.outcome == Outcome::kTimeout || end.outcome == Outcome::kReset ||
+                         end.outcome == Outcome::kCancelled;
+    const Handed& handed = held->second.handed;
+    if (hanging && rests(rules_of(handed.message_class, held->second.rules), handed.about))
+      rest(handed.about);
     if (end.final) {
       if (end.outcome == Outcome::kOk) ++counted_.classes[held->second.handed.message_class].success;
       finish(end.id, {});
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -78,11 +78,14 @@
   void follow();
   void told_by_registry(const nlohmann::json& line);
   int64_t rules_now(const std::string& message_class);
-  ClassSettings rules_of(const Recovered& entry) const;
+  ClassSettings rules_of(const std::string& message_class, int64_t number) const;
   void forget_rules();
   void arrive(const std::vector<Kept>& messages);
   std::shared_ptr<Settings> settings_told() const;
   int zone_of(const Sent& sent) const;
+  bool rests(const ClassSettings& rules, uint64_t about) const;
+  void rest(uint64_t about);
+  std::optional<AttemptEnded> cut_off(Arrival& in) const;
   void open();
   void resume();
   void take_over();
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -164,6 +164,51 @@
   s.host.answer("200");
 }
 
+// A call whose end is not sure may run yet, also where its message and its process are over: until the pause
+// has passed nothing that came later under its key goes out.
+TEST(Recovery, KeepsThePauseOfAKeyInOrder) {
+  constexpr auto kPause = std::chrono::milliseconds(3000);
+  for (const std::string when : {"out at a kill", "over at a kill", "killed again", "over at an upgrade"}) {
+    SCOPED_TRACE(when);
+    Restarted s;
+    s.categories()[2]["in_order"] = true;
+    s.config["settings"]["obligations"]["order_pause_s"] = 3.0;
+    s.program.configure(s.config.dump());
+    s.program.start();
+    const auto put = [](const Program& program, const std::string& id, const std::string& key) {
+      Socket client = program.client();
+      std::string bytes = put_bytes(id, facts("unsafe"));
+      client.send(bytes.replace(bytes.find(std::string(16, '0')), 16, key));
+      EXPECT_EQ(client.line(), "+OK");
+    };
+    put(s.program, "a1", "000000000000000a");
+    put(s.program, "a2", "000000000000000a");
+    EXPECT_EQ(id_of(s.host.next()), "a1");
+    const auto began = std::chrono::steady_clock::now();
+    if (when.starts_with("over")) {
+      s.host.reset();
+      EXPECT_EQ(s.discovery.notice(), failed("a1"));
+    }
+    Program next(s.config);
+    if (when == "over at an upgrade") {
+      next.succeed(s.program);
+      next.start();
+    } else {
+      s.restart();
+      if (when == "killed again") s.restart();
+    }
+    if (!when.starts_with("over")) {
+      EXPECT_EQ(s.discovery.notice(), failed("a1"));
+    }
+    put(when == "over at an upgrade" ? next : s.program, "b1", "000000000000000b");
+    for (const std::string id : {"b1", "a2"}) {
+      EXPECT_EQ(id_of(s.host.next()), id);
+      s.host.answer("200");
+    }
+    EXPECT_GE(std::chrono::steady_clock::now() - began, kPause);
+  }
+}
+
 // A repeat stays with the zone that remembers its key, whatever place the settings give that zone now.
 TEST(Recovery, KnowsAZoneByItsName) {
   Restarted s;
