Hand-over: a cancel goes on to the process that has the call

Seen by reading: of three processes the first has a call out, the last one gives it up. Its cancel ended in the second, which has no such call. The call held its slot up to its time-out.

Line at fault: hear_successor in Relay::hand_over asks only its own calls. Change: it tells the process before where the call is that one's. It is not a broken promise: the end came with the time-out, and once.

Measured: Handover.PassesOnACancel fails without it (nothing is heard in 30 s), and passes with it.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -645,6 +645,7 @@
   }
   handover_.hear_successor([this](std::optional<Parcel> parcel) {
     if (!parcel || parcel->kind != Parcel::kCancel) return;
+    if (away_.contains(parcel->text)) handover_.tell_before(Parcel::kCancel, parcel->text);
     const auto number = numbers_.find(parcel->text);
     if (number != numbers_.end()) upstream_.cancel(number->second, held_.at(number->second).attempts - 1);
   });
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -134,6 +134,9 @@
     }
     return out;
   }
+  void tell(Parcel::Kind kind, const std::string& text) {
+    EXPECT_TRUE(socket_.send(static_cast<char>(kind) + text));
+  }
   void leave() { socket_.close(); }
 
  private:
@@ -383,6 +386,36 @@
   other.answer("200");
 }
 
+// The call is in the first of three processes, and the last one gives it up.
+TEST(Handover, PassesOnACancel) {
+  Side s;
+  Program middle(s.config);
+  {
+    Journal journal(middle.state(), kDisk);
+    const auto due = relay::wall_now() + 60'000'000;
+    ASSERT_TRUE(journal.accepted({"m-out", "unsafe", "", 7, 0, "body", ""}, due));
+    ASSERT_TRUE(journal.attempt("m-out", 0, relay::wall_now(), 0));
+  }
+  Before before(middle.state());
+  auto started = begin(middle);
+  before.await_asked();
+  ASSERT_TRUE(before.handover.give_folder());
+  before.give_call("m-out", 0);
+  before.give_listener();
+  started.get();
+  Asker last(middle.state());
+  for (const auto kind : {Parcel::kFolder, Parcel::kCall, Parcel::kListener})
+    ASSERT_EQ(last.next().kind, kind);
+  last.tell(Parcel::kCancel, "m-out");
+  std::string told;
+  before.handover.hear_successor([&](std::optional<Parcel> parcel) {
+    told = parcel ? static_cast<char>(parcel->kind) + parcel->text : "gone";
+  });
+  before.io.restart();
+  while (told.empty() && before.io.run_one_for(std::chrono::milliseconds(kDeadlineMs)) > 0) continue;
+  EXPECT_EQ(told, "Xm-out");
+}
+
 TEST(Handover, ServesAClientThatComesWhenItsDoorIsShut) {
   Side s;
   Program next(s.config);
