Hand-over: a process whose successor is gone gives up its calls

Seen by reading, and in the test: the new process dies half way. The old one keeps its calls out, up to their time-outs, and can tell nobody their ends. A third process that starts meanwhile finds them on record as calls that may have run, and sends those that may be repeated: a second copy while the first call is still out on an open connection. The same where the new one stalls for 5 s and the old one closes the way to it.

Lines at fault: hear_successor and wait_for_end in relay/relay.cpp do nothing when the successor is gone.

--- a/relay/handover.h
+++ b/relay/handover.h
@@ -65,6 +65,7 @@
   bool give_folder();
   bool give(Parcel::Kind kind, const std::string& text, int descriptor = -1);
   void hear_successor(Heard heard) { listen_to(after_, std::move(heard)); }
+  bool has_successor() const { return after_.is_open(); }
   void withdraw();  // it could not be given: the next that asks is waited for
 
  private:
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -1063,7 +1063,17 @@
   return stopping_since_ == 0 ? std::numeric_limits<Time>::max() : stopping_since_ + kLastCall;
 }
 
+// Nobody is there who could be told their ends: the process that comes next sends again, and must find none
+// of them out.
+void Relay::give_up_calls() {
+  for (const Upstream::Out& call : upstream_.calls_out()) {
+    upstream_.cancel(call.messages.front().first, call.messages.front().second);
+  }
+  for (const auto& [id, away] : away_) handover_.tell_before(Parcel::kCancel, id);
+}
+
 void Relay::wait_for_end() {
+  if (handed_over_ && !handover_.has_successor()) give_up_calls();
   if (handed_over_ && upstream_.out() == 0 && away_.empty() && (!clients_ || clients_->answered())) {
     return io_.stop();
   }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -93,6 +93,7 @@
   void heard_before(std::optional<Parcel> parcel);
   void away_ended(const std::string& id, AttemptEnded end, bool began);
   void hand_over();
+  void give_up_calls();
   void pass_on(const std::string& id, const AttemptEnded& end, bool began);
   void remember(const DestinationMemory& memory);
   void remember_host(const ListedHost& host);
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -271,6 +271,26 @@
   }
 }
 
+// Else a process that comes next sends a message while a call with it is still out.
+TEST(Handover, GivesUpItsCallsWhereTheNewProcessDies) {
+  Side s;
+  s.start();
+  EXPECT_EQ(s.put("m-out", facts("safe")), "+OK");
+  const Socket first = s.host.beside();
+  Asker next(s.program->state());
+  ASSERT_EQ(next.next().kind, Parcel::kFolder);
+  next.leave();
+  s.next.emplace(s.config);
+  s.next->succeed(*s.program);
+  s.next->start();
+  EXPECT_EQ(id_of(s.host.next()), "m-out");
+  std::string left(10'000, ' ');  // of the first call; then its end
+  EXPECT_GT(::recv(first.fd(), left.data(), left.size(), MSG_DONTWAIT), 0);
+  EXPECT_EQ(::recv(first.fd(), left.data(), left.size(), MSG_DONTWAIT), 0);
+  s.host.answer("200");
+  EXPECT_EQ(s.program->wait(), 0);
+}
+
 // It may wait for a connection, or for its turn: the process before never starts it, and may die.
 TEST(Handover, TriesAtOnceWhatTheProcessBeforeHadNotBegun) {
   Side s;
