Tests: operators call before the relay has opened

By reading nothing was at fault: the operators' address listens before the folder is taken over, calls wait for the event loop, and drain and suspend hold from the first client on. Shown by Handover.HeedsOperatorsBeforeItHasOpened: ready says no, a suspended endpoint is sent nothing until it is put back, a drain lasts until it is ended.

--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -506,6 +506,43 @@
   EXPECT_EQ(middle.run_out.wait_for(std::chrono::milliseconds(kDeadlineMs)), std::future_status::ready);
 }
 
+// Nor has it opened when operators call: what they tell it holds from its first client on.
+TEST(Handover, HeedsOperatorsBeforeItHasOpened) {
+  Side s;
+  s.config["control"] = "127.0.0.1:0";
+  s.discovery.mute();  // it waits for its first word
+  const Folder folder;
+  Inside relay;
+  relay.create(s.config, folder.path);
+  const auto ask = [&](const std::string& call) {
+    Socket out = Socket::connect(relay.relay->control_address()->port());
+    out.send(call + " HTTP/1.1\r\nHost: relay\r\nContent-Length: 0\r\n\r\n");
+    return out;
+  };
+  const auto status = [](Socket socket) {
+    const auto answer = read_request(socket);
+    return answer ? answer->first.substr(9, 3) : "";
+  };
+  Socket ready = ask("GET /v1/readyz");
+  Socket suspended = ask("POST /v1/endpoints/s-1/suspend");
+  Socket drained = ask("POST /v1/relay/drain");
+  relay.run();
+  EXPECT_EQ(status(std::move(ready)), "503");
+  EXPECT_EQ(status(std::move(suspended)), "200");
+  EXPECT_EQ(status(std::move(drained)), "200");
+  const uint16_t port = relay.port.get_future().get();
+  EXPECT_EQ(status(ask("GET /v1/readyz")), "503");
+  EXPECT_EQ(status(ask("POST /v1/relay/activate")), "200");
+  EXPECT_EQ(status(ask("GET /v1/readyz")), "200");
+  Socket client = Socket::connect(port);
+  client.send(put_bytes("m-1", facts("safe")));
+  EXPECT_EQ(client.line(), "+OK");
+  EXPECT_EQ(status(ask("POST /v1/endpoints/s-1/resume")), "200");
+  EXPECT_EQ(id_of(s.host.next()), "m-1");
+  EXPECT_EQ(s.host.connections(), 1);
+  s.host.answer("200");
+}
+
 // ---- What cannot be handed over ----
 
 // The new process would read a journal that lacks what the disk had no room for.
