Upstream: a message that leaves its bundle takes what came by then first

Seen by reading: `give_up` reads the socket once more before a whole call ends, but `expire` ended one message of a bundle (its own time over, the others' call going on) as timed out with the answer already in the socket's buffer. A delivered message was sent again or failed.

At fault: `expire`, which looked at the clock only; and `take`, which read 4 KB once, so that a longer answer that was all there passed for a cut one.

Measured: the new test queues the answer's bytes between the timer's end and its handler (an earlier timer of the same turn sends them).

--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -208,6 +208,11 @@
     const Time now = steady_now();
     if (now >= until_) return give_up(Outcome::kTimeout);
     const auto self = shared_from_this();
+    const bool due = std::any_of(parts_.begin(), parts_.end(), [&](const Part& part) {
+      return !part.over && now >= begun_ + part.call.timeout;
+    });
+    if (due && written_) receive();
+    if (over_) return;
     for (Part& part : parts_) {
       if (!part.over && now >= begun_ + part.call.timeout) end(part, unanswered(Outcome::kTimeout));
     }
@@ -224,7 +229,7 @@
 
   // What is there by now counts: the close would lose it.
   void give_up(Outcome outcome) {
-    if (written_ && !over_) take();
+    if (written_) receive();
     if (over_) return;
     if (heard_) return spoilt();
     finish(unanswered(outcome));
@@ -296,17 +301,22 @@
 
   void read() {
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const Error&) {
-      if (!self->over_) self->take();
+      if (self->over_) return;
+      self->receive();
+      if (!self->over_) self->read();
     });
   }
 
-  void take() {
-    Error error;
-    const size_t count = socket_.read_some(buffer_.prepare(kReadAtOnce), error);
-    if (error == boost::asio::error::would_block) return read();
-    buffer_.commit(count);
-    read_ += count;
-    count > 0 ? heard() : ended(error);
+  // All that is there by now.
+  void receive() {
+    while (!over_) {
+      Error error;
+      const size_t count = socket_.read_some(buffer_.prepare(kReadAtOnce), error);
+      if (error == boost::asio::error::would_block) return;
+      buffer_.commit(count);
+      read_ += count;
+      count > 0 ? heard() : ended(error);
+    }
   }
 
   // From its first byte on an answer has little time to become whole: a host that spoils it may leave the
@@ -317,8 +327,7 @@
       arm(std::min(deadline_, steady_now() + kRest));
     }
     if (!parse() || read_ > kMostAnswer) return spoilt();
-    if (parser_ && parser_->is_done()) return answered();
-    read();
+    if (parser_ && parser_->is_done()) answered();
   }
 
   // False: it is no answer. The buffer holds a first line until the parser takes it.
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,7 +26,7 @@
   std::string key;
   std::string body;
   Time timeout = 0;
-  Time start_by = 0;  // no byte of it may be written later
+  Time start_by = std::numeric_limits<Time>::max();  // no byte of it may be written later
   bool last = false;  // the time-out is the message's end: it is not sent again after it
 };
 
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -21,7 +21,9 @@
 
 class CrossingTest : public ::testing::Test {
  protected:
-  void begin(const std::string& body = "body", Time timeout = 60'000'000, int messages = 1) {
+  // The first of several may end by itself, earlier than the call.
+  void begin(const std::string& body = "body", Time timeout = 60'000'000, int messages = 1,
+             Time first_ends = 0) {
     std::vector<Call> calls(messages);
     for (Call& call : calls) {
       call.id = ++last_;
@@ -31,6 +33,10 @@
       call.body = body;
       call.timeout = timeout;
     }
+    if (first_ends > 0) {
+      calls.front().timeout = first_ends;
+      calls.front().last = true;
+    }
     ends_.clear();
     messages_ = calls.size();
     upstream_.call(std::move(calls));
@@ -193,6 +199,29 @@
   EXPECT_EQ(given_up("", true).outcome, Outcome::kReset);
 }
 
+// The same for one message whose own time ends while the others' call goes on, and for an answer of any
+// length: it comes between the timer's end and what is done at it.
+TEST_F(CrossingTest, WhatCameBeforeOneMessageOfABundleIsGivenUpCounts) {
+  const std::string told = "a done\r\nb busy\r\n";
+  for (const size_t longer : {0, 6000}) {
+    begin("body", 60'000'000, 2, 100'000);
+    std::thread host([&] { next(); });
+    while (upstream_.written() < last_) io_.run_one();
+    host.join();
+    boost::asio::steady_timer before(io_, std::chrono::milliseconds(10));
+    before.async_wait([&](const auto&) {
+      connection_.send("HTTP/1.1 200 OK\r\nConnection: close\r\nX: " + std::string(longer, 'x') +
+                       "\r\nContent-Length: " + std::to_string(told.size()) + "\r\n\r\n" + told);
+      arrived(connection_);
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(120));
+    end();
+    EXPECT_EQ(ends_[0].outcome, Outcome::kOk) << longer;
+    EXPECT_TRUE(ends_[0].final);
+    EXPECT_EQ(ends_[1].outcome, Outcome::kFull);
+  }
+}
+
 // A process that stood still finds the answer and the end of its patience at once.
 TEST_F(CrossingTest, AnAnswerThatCameWhileTheProcessStoodStillCounts) {
   rest();
