Upstream: a bundle not all written ends whole with the first of its messages

Seen by reading: a bundle waits for room at its host, part of it written. One message's own time ends: it was reported as a connection that failed, so as never run (on record too), while the rest of the call, this message in it, went on to be written and may have run. Given back as harmless, its client hands it in again: an effect twice, also of a class that may not be repeated.

At fault: `expire` ended single messages by `unanswered`, which looks at `written_` only.

Change: what is partly written is given up whole at that moment. The last byte has not gone, so none of it ran.

--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -213,6 +213,8 @@
     });
     if (due && written_) receive();
     if (over_) return;
+    // What goes on to be written may run, each message of it.
+    if (due && unsent_ && !written_) return give_up(Outcome::kTimeout);
     for (Part& part : parts_) {
       if (!part.over && now >= begun_ + part.call.timeout) end(part, unanswered(Outcome::kTimeout));
     }
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -222,6 +222,17 @@
   }
 }
 
+// What is said never to have run must not be in a call that goes on.
+TEST_F(CrossingTest, ABundleThatIsNotAllWrittenEndsWithTheFirstOfItsMessages) {
+  const std::string large(kMoreThanTheSystemHolds, 'x');
+  begin(large, 60'000'000, 2, 300'000);
+  while (ends_.empty()) io_.run_one();
+  ASSERT_EQ(ends_.size(), 2u);
+  for (const AttemptEnded& end : ends_) EXPECT_EQ(end.outcome, Outcome::kConnectFailed);
+  connection_ = listener_.accept();
+  EXPECT_LT(bytes_until_the_end(connection_), 2 * large.size());
+}
+
 // A process that stood still finds the answer and the end of its patience at once.
 TEST_F(CrossingTest, AnAnswerThatCameWhileTheProcessStoodStillCounts) {
   rest();
