Upstream: an answer with no line's end no longer ends the process

Seen by reading: the buffer of an answer held 64 KB, the bound on what is read of one is 128 KB. A chunk's extension or a trailer whose line never ends stays in the buffer (Beast's parser sets no limit there), and beyond 60 KB `prepare` throws out of the event loop: the process ends by one host's spoilt answer.

Ruled out: long heads (the parser's limit of 8 KB), content and chunks (consumed as they come), heads of 1xx (same).

Change: the buffer has room for all that is read of one answer, so the bound on that ends the call first, as spoilt.

Measured: two more rows in the test of answers that never end. Without the change the test's process is terminated by the exception; with it both end as spoilt, and the connection is closed.

--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -484,7 +484,7 @@
   boost::asio::steady_timer timer_;
   http::request<http::string_body> request_;
   std::optional<http::request_serializer<http::string_body>> unsent_;
-  boost::beast::flat_buffer buffer_{kMostBody};
+  boost::beast::flat_buffer buffer_{kMostAnswer + kReadAtOnce};  // never full: a full one throws
   std::optional<http::response_parser<http::string_body>> parser_;
   Time begun_ = 0;
   Time deadline_ = 0;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -316,15 +316,20 @@
 // Each is over long before the call's time is, and the host sees the connection close.
 TEST_F(CrossingTest, AnAnswerThatNeverEndsOrNeverComesIsBounded) {
   const std::string flood(64 * 1024, 'x');
-  for (const std::string& bytes :
-       {std::string("HTTP/1.1 100 x\r\n\r\n"), "HTTP/1.1 503 x\r\nContent-Length: 60000000\r\n\r\n" + flood,
-        std::string("HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n")}) {
+  const std::string full = "HTTP/1.1 503 x\r\n";
+  const std::string chunked = full + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const auto& [bytes, more] : {std::pair<std::string, std::string>{"", "HTTP/1.1 100 x\r\n\r\n"},
+                                    {full + "Content-Length: 60000000\r\n\r\n", flood},
+                                    {"", chunked + "1\r\nx\r\n"},
+                                    {chunked + "1;", flood},  // no line of it ever ends
+                                    {chunked + "1\r\nx\r\n0\r\nX: ", flood}}) {
     begin();
     const AttemptEnded out = end_beside([&] {
       next();
-      while (connection_.send(bytes)) continue;  // until the relay closes
+      connection_.send(bytes);
+      while (connection_.send(more)) continue;  // until the relay closes
     });
-    EXPECT_EQ(out.outcome, Outcome::kSpoilt) << bytes.substr(0, 40);
+    EXPECT_EQ(out.outcome, Outcome::kSpoilt) << bytes << more.substr(0, 40);
     EXPECT_LT(out.took, 30'000'000);
   }
 }
