Upstream: the clock is read right before each piece of a call is written

A process that stood still there wrote after the window. A large body, once begun, was written to its end whenever the host had room, and a host counts a call from its last byte. And a connection that was up together with the end of the call's own time (both after a stop) got the call, which was then given up at once: may have run, for nothing.

At fault: `write` and `write_on`, with no look at the clock.

Change: `write_on` reads the clock ahead of each piece and ends what the timer would have ended; the timer is set for the window's last moment as well. A call that is not all written then ends as never run (it is closed short of its last byte). A message whose own time is over by its first byte does not go, and its bundle goes without it.

Left: some instructions between the clock and the system call, against the margin of 50 ms and a tick.

Measured: a child that stops itself (SIGSTOP) in `may_start` and is continued when its window, or its call's time, is over wrote the request before; now no byte comes. All fail without the change.

--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -27,6 +27,7 @@
 constexpr Time kRest = 300 * 1000;  // an answer that has begun is whole within this time, or it never will be
 constexpr Time kSettle = 2 * 1000;  // what a host sends behind an answer comes within this time
 constexpr Time kMostWait = 3600 * kSecond;
+constexpr Time kNever = std::numeric_limits<Time>::max();
 constexpr double kMostReported = 1e9;
 constexpr std::string_view kVersion = "HTTP/1.";
 
@@ -195,9 +196,11 @@
 
   void arm(Time at) {
     until_ = at;
+    at = std::min(at, whole_by_);
     for (const Part& part : parts_) {
       if (!part.over) at = std::min(at, begun_ + part.call.timeout);
     }
+    due_ = at;
     timer_.expires_at(at_time(at));
     timer_.async_wait([self = shared_from_this()](const Error& error) {
       if (!error && !self->over_) self->expire();
@@ -208,6 +211,10 @@
     const Time now = steady_now();
     if (now >= until_) return give_up(Outcome::kTimeout);
     const auto self = shared_from_this();
+    if (now >= whole_by_) {
+      if (!written_) return finish(Outcome::kMoot);
+      whole_by_ = kNever;
+    }
     const bool due = std::any_of(parts_.begin(), parts_.end(), [&](const Part& part) {
       return !part.over && now >= begun_ + part.call.timeout;
     });
@@ -242,7 +249,7 @@
     const auto self = shared_from_this();
     std::vector<Part*> going;
     for (Part& part : parts_) {
-      if (part.over) continue;
+      if (part.over || steady_now() >= std::min(deadline_, begun_ + part.call.timeout)) continue;
       if (!probe_ && !owner_->may_start_(part.call)) continue;
       part.began = true;  // also where it is asked once more, for a new connection
       going.push_back(&part);
@@ -278,14 +285,22 @@
       request_.prepare_payload();
     }
     unsent_.emplace(request_);
+    for (const Part* part : going) whole_by_ = std::min(whole_by_, part->call.start_by);
+    if (whole_by_ < until_) arm(until_);
     write_on();
   }
 
   // Here and now, so that no other event finds the last byte written and this side not aware of it: the host
-  // gets the call, and it would pass for one that never ran.
+  // gets the call, and it would pass for one that never ran. The clock is read ahead of each piece, behind
+  // all that takes time (the record on disk, the log): the process may have stood still, and the timer is
+  // late.
   void write_on() {
     Error error;
-    while (!error && !unsent_->is_done()) http::write_some(socket_, *unsent_, error);
+    while (!error && !unsent_->is_done()) {
+      if (steady_now() >= due_) expire();
+      if (over_) return;
+      http::write_some(socket_, *unsent_, error);
+    }
     if (error == boost::asio::error::would_block) {
       return socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const Error& failed) {
         if (self->over_) return;
@@ -488,8 +503,10 @@
   std::optional<http::response_parser<http::string_body>> parser_;
   Time begun_ = 0;
   Time deadline_ = 0;
-  Time until_ = 0;     // when the whole call is given up
-  bool kept_ = false;  // the connection has rested
+  Time until_ = 0;          // when the whole call is given up
+  Time due_ = 0;            // and what the timer is set for: the first thing that ends by its time
+  Time whole_by_ = kNever;  // a repeat's last byte goes by then, or not at all
+  bool kept_ = false;       // the connection has rested
   bool bundle_ = false;
   bool written_ = false;
   bool over_ = false;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -4,9 +4,13 @@
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <cerrno>
+#include <csignal>
 #include <functional>
+#include <limits>
 
 #include "peers.h"
 #include "upstream.h"
@@ -32,6 +36,7 @@
       call.call_id = std::string(1, static_cast<char>('a' + (&call - calls.data())));
       call.body = body;
       call.timeout = timeout;
+      call.start_by = start_by_;
     }
     if (first_ends > 0) {
       calls.front().timeout = first_ends;
@@ -106,6 +111,7 @@
   size_t messages_ = 0;
   bool began_ = false;
   uint64_t last_ = 0;
+  Time start_by_ = std::numeric_limits<Time>::max();
   Socket listener_ = Socket::listen();
   Socket connection_;
   Upstream upstream_{io_,
@@ -233,6 +239,70 @@
   EXPECT_LT(bytes_until_the_end(connection_), 2 * large.size());
 }
 
+// ---- A repeat's window, and a call's own time: no byte of it goes later ----
+
+// The process is stopped right behind the last look, and goes on when the time is over.
+TEST_F(CrossingTest, AProcessStoppedBeforeTheFirstByteDoesNotBeginTooLate) {
+  for (const bool window : {true, false}) {
+    const Time over = steady_now() + 200'000;
+    io_.notify_fork(boost::asio::execution_context::fork_prepare);
+    const pid_t child = ::fork();
+    if (child == 0) {
+      ::alarm(testing::kDeadlineMs / 1000);
+      io_.notify_fork(boost::asio::execution_context::fork_child);
+      before_start_ = [] { ::raise(SIGSTOP); };
+      if (window) start_by_ = over;
+      begin("body", window ? 60'000'000 : over - steady_now());
+      ::_exit(static_cast<int>(end().outcome));
+    }
+    io_.notify_fork(boost::asio::execution_context::fork_parent);
+    int status = 0;
+    ASSERT_EQ(::waitpid(child, &status, WUNTRACED), child);
+    ASSERT_TRUE(WIFSTOPPED(status));
+    std::this_thread::sleep_until(at_time(over + 1'000));
+    ::kill(child, SIGCONT);
+    ASSERT_EQ(::waitpid(child, &status, 0), child);
+    EXPECT_TRUE(WIFEXITED(status));
+    const Outcome due = window ? Outcome::kMoot : Outcome::kConnectFailed;
+    EXPECT_EQ(WEXITSTATUS(status), static_cast<int>(due));
+    connection_ = listener_.accept();
+    EXPECT_EQ(bytes_until_the_end(connection_), 0u) << window;
+  }
+}
+
+// The connection and the end of the call's time are there at once.
+TEST_F(CrossingTest, AConnectionThatComesUpAfterTheCallsTimeBringsNoCall) {
+  begin("body", 50'000, 2, 100'000);
+  std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  EXPECT_EQ(end().outcome, Outcome::kMoot);
+  EXPECT_EQ(upstream_.written(), 0u);
+  begin("body", 60'000'000, 2, 50'000);  // of one message's time: the other one goes alone
+  std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  end_beside([&] {
+    EXPECT_EQ(next().headers["x-call-id"], "b");
+    connection_.send(kOk);
+  });
+  EXPECT_EQ(ends_[0].outcome, Outcome::kMoot);
+  EXPECT_EQ(ends_[1].outcome, Outcome::kOk);
+}
+
+// An endpoint begins a call with its last byte: one that can no longer go in time is not sent to its end.
+TEST_F(CrossingTest, ARepeatWhoseLastByteWouldGoTooLateNeverRuns) {
+  const std::string large(kMoreThanTheSystemHolds, 'x');
+  for (const bool reads_on : {false, true}) {
+    start_by_ = steady_now() + 200'000;
+    begin(large, 10'000'000);
+    const AttemptEnded out = end_beside([&] {
+      connection_ = listener_.accept();
+      connection_.exactly(1000);
+      if (!reads_on) return;
+      std::this_thread::sleep_until(at_time(start_by_));
+      EXPECT_LT(bytes_until_the_end(connection_), large.size());
+    });
+    EXPECT_EQ(out.outcome, Outcome::kMoot) << reads_on;
+  }
+}
+
 // A process that stood still finds the answer and the end of its patience at once.
 TEST_F(CrossingTest, AnAnswerThatCameWhileTheProcessStoodStillCounts) {
   rest();
