Upstream: a call given up takes back what the system still holds of it

Seen by reading: the system takes a whole request that its host has no room for (a hung host with a full buffer) and sends the rest whenever the host reads on, also after a close: a repeat ran after its window, though it was written and given up inside it.

Change: where bytes wait in the system that were not sent (SIOCOUTQNSD), a call that is given up is closed with a reset, which drops them; at the last moment of a repeat's window such a call is given up. Its outcome stays "may have run": the host's room may open between the look and the close. Acknowledged or sent bytes do not count, and a system that cannot tell changes nothing.

Measured: a host with a receive buffer of 4 KB that reads after the call was given up, by a cancel and at the window's end, got all 65,633 bytes of a call of 64 KB in both cases; now fewer than the body. On this system a default buffer takes 70,000 bytes, so it takes a small buffer or bytes in it already.

--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -1,5 +1,7 @@
 #include "upstream.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -214,6 +216,7 @@
     if (now >= whole_by_) {
       if (!written_) return finish(Outcome::kMoot);
       whole_by_ = kNever;
+      if (held_back()) return give_up(Outcome::kTimeout);
     }
     const bool due = std::any_of(parts_.begin(), parts_.end(), [&](const Part& part) {
       return !part.over && now >= begun_ + part.call.timeout;
@@ -236,10 +239,19 @@
     return heard_ ? Outcome::kSpoilt : written_ ? outcome : Outcome::kConnectFailed;
   }
 
+  // The host has no room for what was written, and the system sends it whenever it has, also after a close
+  // that is no reset.
+  bool held_back() {
+    int bytes = 0;
+    return written_ && ::ioctl(socket_.native_handle(), SIOCOUTQNSD, &bytes) == 0 && bytes > 0;
+  }
+
   // What is there by now counts: the close would lose it.
   void give_up(Outcome outcome) {
     if (written_) receive();
     if (over_) return;
+    Error ignored;
+    if (held_back()) socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     if (heard_) return spoilt();
     finish(unanswered(outcome));
   }
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -303,6 +303,23 @@
   }
 }
 
+// Bytes that the system still holds for a host that does not read would go whenever it reads on, also after a
+// close: a call that is given up takes them back.
+TEST_F(CrossingTest, WhatTheSystemStillHoldsOfACallGivenUpDoesNotGo) {
+  const int small = 4096;
+  ASSERT_EQ(::setsockopt(listener_.fd(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small), 0);
+  const std::string body(64 * 1024, 'x');
+  for (const bool window : {false, true}) {
+    if (window) start_by_ = steady_now() + 200'000;
+    begin(body);
+    while (upstream_.written() < last_) io_.run_one();
+    if (!window) upstream_.cancel(last_, 0);
+    EXPECT_EQ(end().outcome, window ? Outcome::kTimeout : Outcome::kCancelled);
+    connection_ = listener_.accept();
+    EXPECT_LT(bytes_until_the_end(connection_), body.size()) << window;
+  }
+}
+
 // A process that stood still finds the answer and the end of its patience at once.
 TEST_F(CrossingTest, AnAnswerThatCameWhileTheProcessStoodStillCounts) {
   rest();
