Order: a key rests while the notice of its last message is on its way

Checked in the logs at debug: was turned away with 429 and, at max_attempts 1, returned at 1.0819 s; the next message of its key went out 0.4 ms later on a resting connection (2 ms later after a restart that found the first one over time). The notice goes one at a time, on a connection that may have to come up first: the call is there ahead of it.

Lines at fault: Impl::settle and shed push Refuse or Fail, end() frees the turn, and dispatch in the same step sends the next one.

Change: a key rests for kPauseMost (0.25 s) after a message that ended by a notice, beside order_pause and never shorter. The module does not hear when a notice was taken: a notice that takes longer is still overtaken.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -869,13 +869,14 @@
 
   // ---- Answers that are due ----
 
-  void end(uint64_t id) {
+  void end(uint64_t id, bool noticed = false) {
     const auto it = messages_.find(id);
     if (it == messages_.end()) return;
     const Arrival& in = it->second.in;
     if (it->second.rules.in_order && in.key != 0) {
-      std::erase(turns_[in.key], id);
-      if (turns_[in.key].empty()) turns_.erase(in.key);
+      if (auto& turn = turns_[in.key]; std::erase(turn, id) > 0 && turn.empty()) turns_.erase(in.key);
+      Time& until = std::get<0>(key_rests_[in.key]);  // the next call must not be there ahead of the notice
+      if (noticed) until = std::max(until, now_ + kPauseMost);
     }
     messages_.erase(it);
   }
@@ -932,7 +933,7 @@
       if (m.out) continue;
       if (hopeless(m) || now_ >= last_moment(m) || barred(m)) {
         out_->push_back(refusable(m) ? Action{Refuse{id, retry_after(m)}} : Action{Fail{id}});
-        end(id);
+        end(id, true);
       } else {
         wake(last_moment(m));
       }
@@ -951,7 +952,7 @@
     for (const auto& [worth, id] : least) {
       if (messages_.size() <= room) break;
       out_->push_back(Refuse{id, retry_after(messages_.at(id))});
-      end(id);
+      end(id, true);
     }
   }
 
@@ -969,9 +970,9 @@
   bool has_turn(const Message& m) {
     if (!m.rules.in_order || m.in.key == 0) return true;
     if (turns_[m.in.key].front() != m.in.id) return false;
-    const auto rest = key_rests_.find(m.in.key);
-    if (rest == key_rests_.end() || std::get<1>(rest->second) == m.in.id) return true;
-    if (const Time until = std::get<0>(rest->second); until > now_) wake(until);
+    const auto& [until, id, call] = key_rests_[m.in.key];
+    if (id == m.in.id || (until <= now_ && !calls_.contains(call))) return true;
+    if (until > now_) wake(until);
     return false;
   }
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -179,6 +179,23 @@
   EXPECT_EQ(second[0].id, 2u);
 }
 
+// The next one's call must not be there ahead of the notice.
+TEST(Promises, AKeyRestsWhileTheNoticeOfItsLastMessageIsOnItsWay) {
+  Settings s = plain_settings();
+  s.classes[0].in_order = true;
+  s.max_attempts = 1;
+  Relay relay(s);
+  Arrival a = relay.message(1, 0);
+  Arrival b = relay.message(2, 0);
+  a.key = b.key = 5;
+  const auto first = all_of<Send>(relay.step(0, {members({member(1)}), a, b}));
+  const auto over = relay.step(100'000, {ended(first.at(0), 0, Outcome::kError)});
+  EXPECT_EQ(all_of<Refuse>(over).size(), 1u);
+  EXPECT_TRUE(all_of<Send>(over).empty());
+  EXPECT_TRUE(all_of<Send>(relay.idle(110'000, 340'000, 10'000)).empty());
+  EXPECT_EQ(all_of<Send>(relay.idle(350'000, 2 * kSecond)).size(), 1u);
+}
+
 TEST(Promises, AWithdrawnMessageKeepsItsTurnWhileItsCallIsOut) {
   Settings s = plain_settings();
   s.classes[0].in_order = true;
