Clients: at the limit a resting connection ends by a lingering close

Seen by reading: at the limit of connections make_room closed the connection that had been of no use for longest at once. A request that crossed that close met a closed socket and was reset, and what the system still held back went with it. Between the look (quiet) and the close bytes could come as well.

Ruled out: the others that end between requests (silent ones, drain, shutdown) linger already. What has come before the look is served, as quiet sees it.

At fault: Clients::make_room, which called Session::close. Now it ends the sending side, and what still comes is read and thrown away until the client ends too, or for 50 ms; only then its descriptor is free for the newcomer, which waits in the listener's queue. The limit holds with those that linger. So that newcomers seldom wait, an eighth of the places and one are let go ahead of need, those that rested for 2 s first; under pressure (none rested so long) only where the limit is reached. An error's linger keeps its second.

Measured: Shutdown.ARequestThatCrossesTheEndForAnothersSakeIsNotReset sends the request between the relay's end and its close: without the mend the client's connection is in the state CLOSE (reset), with it in CLOSE_WAIT, the request is not taken on, and the newcomer is answered.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -34,7 +34,9 @@
 constexpr Time kPressedLeast = kSecond / 20;     // the same, where every other was of use just now
 constexpr Time kSilentLeast = 3 * kSecond / 10;  // with nothing ever sent
 constexpr Time kLingerLeast = kSecond;
-constexpr size_t kMostName = 128;                   // ids, keys, class and tenant names
+constexpr Time kCrossLeast = kSecond / 20;  // after an end between requests: for what its client had sent
+constexpr size_t kAhead = 8;                // one place in so many is made free ahead
+constexpr size_t kMostName = 128;           // ids, keys, class and tenant names
 constexpr Time kMostLife = Time{24} * 3600 * 1000;  // milliseconds
 
 // Ids and keys become header lines and journal records: nothing that could break one passes.
@@ -159,6 +161,8 @@
   }
 
   bool reading() const { return state_ == State::kReading; }
+  bool lingering() const { return state_ == State::kLingering; }
+  bool going() const { return lingering() && !last_; }  // ended between requests: it takes little time
   bool owed() const { return state_ == State::kServing || state_ == State::kWriting; }
 
   // What was answered is between requests; what never spoke may be a client that comes just now.
@@ -197,7 +201,7 @@
   // begun. `pressed`: nothing else is left that could go.
   Time spare(Time now, bool pressed) const {
     const Time age = now - since_;
-    if (state_ == State::kLingering) return age - kLingerLeast;
+    if (state_ == State::kLingering) return age - (last_ ? kLingerLeast : kCrossLeast);
     if (state_ != State::kReading || began_ != 0) return -1;
     return age - (!spoke_ ? kSilentLeast : pressed ? kPressedLeast : kIdleLeast);
   }
@@ -208,6 +212,19 @@
     return socket_.available(error) == 0 || error;
   }
 
+  // A close with bytes unread would be a reset, which may overtake the last answer, and they may come at any
+  // moment: the sending side ends, and what still comes is thrown away until the client ends too, or for a
+  // while. No request is taken after the end: its client hands it in again elsewhere.
+  void linger() {
+    boost::system::error_code ignored;
+    socket_.cancel(ignored);
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    parser_ = RespParser();
+    since_ = steady_now();
+    state_ = State::kLingering;
+    linger_on();
+  }
+
   void close() {
     boost::system::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -292,19 +309,6 @@
     answer(line);
   }
 
-  // A close with bytes unread would be a reset, which may overtake the last answer, and they may come at any
-  // moment: the sending side ends, and what still comes is thrown away until the client ends too, or for a
-  // while. No request is taken after the end: its client hands it in again elsewhere.
-  void linger() {
-    boost::system::error_code ignored;
-    socket_.cancel(ignored);
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    parser_ = RespParser();
-    since_ = steady_now();
-    state_ = State::kLingering;
-    linger_on();
-  }
-
   void linger_on() {
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](auto error) {
       if (self->owner_ == nullptr || self->state_ != State::kLingering) return;
@@ -354,23 +358,26 @@
 }
 
 void Clients::accept() {
-  if (finishing_ || accepting_ || (sessions_.size() >= most_ && !make_room())) return;
+  if (finishing_ || accepting_ || !make_room()) return;
   accepting_ = true;
   acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
     if (error == boost::asio::error::operation_aborted) return;
     accepting_ = false;
     if (error) {  // out of descriptors, or the client is gone again: an accept at once would spin
-      pause_.expires_after(kAcceptPause);
-      pause_.async_wait([this](const boost::system::error_code& stopped) {
-        if (!stopped) accept();
-      });
-      return;
+      return accept_in(kAcceptPause);
     }
     add(std::move(socket))->proceed();
     accept();
   });
 }
 
+void Clients::accept_in(std::chrono::microseconds pause) {
+  pause_.expires_after(pause);
+  pause_.async_wait([this](const boost::system::error_code& stopped) {
+    if (!stopped) accept();
+  });
+}
+
 std::shared_ptr<Clients::Session> Clients::add(tcp::socket socket) {
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
@@ -398,26 +405,41 @@
                       [](const auto& session) { return session->owed(); });
 }
 
-// At the limit the connection that has been of no use for longest goes. Clients keep connections for good,
-// and some connect and say nothing: they would shut out those that have something to hand in.
+// At the limit the connections that have been of no use for longest go. Clients keep connections for good,
+// and some connect and say nothing: they would shut out those that have something to hand in. A request may
+// cross the end of a resting one, so that it takes its time, and a few go ahead of need.
 bool Clients::make_room() {
+  const size_t ahead = most_ / kAhead + 1;
+  if (sessions_.size() + ahead <= most_) return true;
   const Time now = steady_now();
-  std::shared_ptr<Session> best;
+  const size_t wanted = sessions_.size() + ahead - most_;
+  auto going = static_cast<size_t>(std::count_if(sessions_.begin(), sessions_.end(),
+                                                 [](const auto& session) { return session->going(); }));
   for (const bool pressed : {false, true}) {
-    Time most = -1;
+    if (pressed && (going > 0 || sessions_.size() < most_)) break;
+    std::vector<std::pair<Time, Session*>> spare;
     for (const auto& session : sessions_) {
-      const Time spare = session->spare(now, pressed);
-      if (spare <= most || !session->quiet()) continue;
-      most = spare;
-      best = session;
+      const Time time = session->reading() ? session->spare(now, pressed) : -1;
+      if (time >= 0) spare.emplace_back(time, session.get());
+    }
+    std::sort(spare.rbegin(), spare.rend());
+    for (const auto& [time, session] : spare) {
+      if (going >= wanted) break;
+      if (!session->quiet()) continue;
+      session->linger();
+      ++going;
     }
-    if (best) break;
   }
-  if (!best) return false;  // the next look is the sweep's
-  accepting_ = true;        // closing it asks for the next accept: that is the caller's
-  best->close();
-  accepting_ = false;
-  return true;
+  // A close asks for the next accept: that is the caller's.
+  const bool accepting = std::exchange(accepting_, true);
+  for (auto next = sessions_.begin(); next != sessions_.end() && sessions_.size() >= most_;) {
+    const auto session = *next++;
+    if (session->lingering() && session->spare(now, false) >= 0 && session->quiet()) session->close();
+  }
+  accepting_ = accepting;
+  if (sessions_.size() < most_) return true;
+  if (going > 0) accept_in(std::chrono::microseconds(kCrossLeast));  // else the next look is the sweep's
+  return false;
 }
 
 void Clients::sweep() {
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
 #include <list>
 #include <memory>
@@ -53,6 +54,7 @@
   bool leaving() const;  // connections go once they have been answered
 
   void accept();
+  void accept_in(std::chrono::microseconds pause);
   void accept_rest();
   std::shared_ptr<Session> add(tcp::socket socket);
   bool make_room();
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -1,7 +1,10 @@
 // The end of the process: what clients have sent, or send just then, against what is closed. The test runs
 // the loop itself, so that it decides what has come before the relay looks.
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <cerrno>
 #include <chrono>
@@ -123,6 +126,30 @@
   EXPECT_EQ(found(resting), 'e');
 }
 
+// At the limit of connections one goes for another's sake: what crosses its end is thrown away, and the
+// client sees no reset; the other one waits for its place meanwhile.
+TEST_F(Shutdown, ARequestThatCrossesTheEndForAnothersSakeIsNotReset) {
+  std::vector<Socket> resting;
+  for (int i = 0; i < 16; ++i) {
+    resting.push_back(client());
+    ASSERT_TRUE(resting.back().send(kPing));
+    expect_answer(resting.back(), "+PONG");
+  }
+  Socket next = client();
+  ASSERT_TRUE(next.send(kPut));
+  const auto over = [](const Socket& each) { return found(each) != '-'; };
+  run_until([&] { return std::any_of(resting.begin(), resting.end(), over); });
+  const auto gone = std::find_if(resting.begin(), resting.end(), over);
+  EXPECT_EQ(found(*gone), 'e');
+  ASSERT_TRUE(gone->send(kPut));
+  expect_answer(next, "+OK");
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  ASSERT_EQ(::getsockopt(gone->fd(), IPPROTO_TCP, TCP_INFO, &info, &size), 0);
+  EXPECT_EQ(info.tcpi_state, TCP_CLOSE_WAIT) << "it was reset";
+  EXPECT_EQ(puts_, 1);
+}
+
 // The whole relay: it stood still while its time to close came, and requests with it. It ends in the turn in
 // which nothing is open any more, not before the last of them has its answer.
 TEST(ShutdownOfTheRelay, EndsOnlyWhenEachClientHasItsAnswer) {
