Clients: a connection is accepted in its own turn, not ahead of it

Seen by reading: where several connections wait, async_accept takes the next one at once and posts its handler. A hand-over that stands in the queue before it closes the listener, finds that nobody is owed an answer and ends the process in the same turn (Relay::hand_over, wait_for_end): the accepted connection goes with it, though the next process has the listener and would have taken it. The same at the end of a process, where an accept that failed just before leaves no other connection (Clients::ended sees none).

Ruled out: a connection with a turn behind it is in the list; one still in the listener's queue is accept_rest's at a shutdown, and the next process's at a hand-over.

At fault: Clients::accept. It waits until the listener is readable and accepts in the handler, without blocking, also where a client is gone again; accept_rest goes on behind such a one.

Measured: Shutdown.AHandOverWaitsForWhatIsAcceptedAlready stops the loop after the first of three connections' turn: without the mend one of three is neither given away nor left in the queue.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -349,6 +349,8 @@
   } else {
     net::listen(acceptor_, listen);
   }
+  acceptor_.non_blocking(true);
+  acceptor_.set_option(tcp::acceptor::enable_connection_aborted(true));  // else that accept would block
   accept();
   sweep();
 }
@@ -360,9 +362,14 @@
 void Clients::accept() {
   if (finishing_ || accepting_ || !make_room()) return;
   accepting_ = true;
-  acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted) return;
+  // Accepted only in its turn: what is accepted ahead of it is lost where the process ends or hands over
+  // first.
+  acceptor_.async_wait(tcp::acceptor::wait_read, [this](boost::system::error_code error) {
+    if (error == boost::asio::error::operation_aborted || finishing_) return;
     accepting_ = false;
+    tcp::socket socket(io_);
+    if (!error) acceptor_.accept(socket, error);
+    if (error == boost::asio::error::would_block) return accept();
     if (error) {  // out of descriptors, or the client is gone again: an accept at once would spin
       return accept_in(kAcceptPause);
     }
@@ -470,8 +477,7 @@
 // Connections that are there already, with a request or not, would be reset with the listener.
 void Clients::accept_rest() {
   boost::system::error_code error;
-  acceptor_.non_blocking(true, error);
-  while (!error && sessions_.size() < most_) {
+  while ((!error || error == boost::asio::error::connection_aborted) && sessions_.size() < most_) {
     tcp::socket socket(io_);
     acceptor_.accept(socket, error);
     if (!error) add(std::move(socket))->proceed();
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -1,5 +1,6 @@
 // The end of the process: what clients have sent, or send just then, against what is closed. The test runs
 // the loop itself, so that it decides what has come before the relay looks.
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -126,6 +127,22 @@
   EXPECT_EQ(found(resting), 'e');
 }
 
+// A connection may have been accepted with its turn still to come. Another process has the listener then, and
+// this one ends as soon as nothing is open.
+TEST_F(Shutdown, AHandOverWaitsForWhatIsAcceptedAlready) {
+  const Socket listener(::dup(clients_.listener()));
+  std::vector<Socket> waiting;
+  for (int i = 0; i < 3; ++i) waiting.push_back(client());
+  io_.run_one();  // the first one's turn
+  size_t given = 0;
+  clients_.hand_over([&](const std::string&, int) { ++given; });
+  run_until([&] { return clients_.answered(); });
+  ASSERT_EQ(::fcntl(listener.fd(), F_SETFL, O_NONBLOCK), 0);
+  size_t left = 0;
+  while (listener.accept().open()) ++left;
+  EXPECT_EQ(given + left, waiting.size());
+}
+
 // At the limit of connections one goes for another's sake: what crosses its end is thrown away, and the
 // client sees no reset; the other one waits for its place meanwhile.
 TEST_F(Shutdown, ARequestThatCrossesTheEndForAnothersSakeIsNotReset) {
