Relay: calls and operators keep to their shares where few descriptors are told

Seen in a trial: 64 descriptors told, calls_out 1000, calls that are never answered, clients and operators that take what they get: the process held 345 (361 at 100 told, 373 at 128). Where the system allows no more than told, connects fail for want of a descriptor, which passes for hosts that are gone.

Ruled out: its own ones: 14 at rest of 24; idle connections: Upstream counts them; clients: their limit held.

At fault: most_calls bounded the share of calls, but nothing bounded the calls: the module had all of calls_out. And the operators' address let 17 callers in whatever was told: at 100 told that is 5 more than its share, which only unused ones of the process's own covered; two too many during a hand-over. Now the module is told no more slots than there are descriptors for calls and probes, and the address lets as many callers in as its share holds.

--- a/relay/control.cpp
+++ b/relay/control.cpp
@@ -167,8 +167,8 @@
   bool answering_ = false;
 };
 
-Control::Control(boost::asio::io_context& io, const tcp::endpoint& listen, Handle handle)
-    : acceptor_(io), pause_(io), handle_(std::move(handle)) {
+Control::Control(boost::asio::io_context& io, const tcp::endpoint& listen, Handle handle, size_t most)
+    : acceptor_(io), pause_(io), handle_(std::move(handle)), most_(most) {
   net::listen(acceptor_, listen);
   accept();
 }
@@ -190,7 +190,7 @@
     auto caller = std::make_shared<Caller>(*this, std::move(socket));
     caller->place = callers_.insert(callers_.end(), caller);
     caller->read();
-    if (callers_.size() <= kMostCallers) return accept();
+    if (callers_.size() <= most_) return accept();
     boost::asio::post(acceptor_.get_executor(), [this] { make_room(); });
   });
 }
@@ -200,8 +200,8 @@
 void Control::make_room() {
   const auto last = callers_.empty() ? callers_.end() : std::prev(callers_.end());
   const auto spare = std::find_if(callers_.begin(), last, [](const auto& caller) { return caller->spare(); });
-  if (callers_.size() > kMostCallers && spare != last) std::shared_ptr<Caller>(*spare)->close();
-  if (callers_.size() <= kMostCallers) return accept();
+  if (callers_.size() > most_ && spare != last) std::shared_ptr<Caller>(*spare)->close();
+  if (callers_.size() <= most_) return accept();
   pause_.expires_after(kAcceptPause);
   pause_.async_wait([this](const Error& stopped) {
     if (!stopped) make_room();
--- a/relay/control.h
+++ b/relay/control.h
@@ -32,12 +32,13 @@
  public:
   using Handle = std::function<OperatorReply(const OperatorCall&)>;
 
-  // Most callers at once. Beyond that the one that has kept its call back for longest goes, and until one has
-  // gone no other is let in.
+  // Most callers at once, unless told fewer. Beyond that the one that has kept its call back for longest
+  // goes, and until one has gone no other is let in.
   static constexpr size_t kMostCallers = 16;
 
   // Listens at once; throws boost::system::system_error.
-  Control(boost::asio::io_context& io, const tcp::endpoint& listen, Handle handle);
+  Control(boost::asio::io_context& io, const tcp::endpoint& listen, Handle handle,
+          size_t most = kMostCallers);
   ~Control();
 
   tcp::endpoint address() const { return acceptor_.local_endpoint(); }
@@ -51,6 +52,7 @@
   tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
   Handle handle_;
+  size_t most_;
   std::list<std::shared_ptr<Caller>> callers_;  // oldest first
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -45,10 +45,15 @@
 constexpr size_t kOtherDescriptors = Control::kMostCallers + 24;
 constexpr size_t kProbes = 8;
 
-size_t own_descriptors(const Config& config) {
-  return kOwnDescriptors + std::min(kOtherDescriptors, config.sockets / 8);
+size_t other_descriptors(const Config& config) { return std::min(kOtherDescriptors, config.sockets / 8); }
+
+// One more operator is let in before another goes.
+size_t most_operators(const Config& config) {
+  return std::min(Control::kMostCallers, other_descriptors(config) - 1);
 }
 
+size_t own_descriptors(const Config& config) { return kOwnDescriptors + other_descriptors(config); }
+
 size_t most_calls(const Config& config) {
   const size_t half = (config.sockets - own_descriptors(config)) / 2;
   return std::min(half, static_cast<size_t>(config.settings.slots) + kProbes);
@@ -58,6 +63,15 @@
   return std::min(config.sockets / 2, config.sockets - own_descriptors(config) - most_calls(config));
 }
 
+// What the module may have out has a descriptor each: a connection that cannot be opened for want of one
+// would pass for a host that is gone.
+Settings within_descriptors(const Config& config) {
+  Settings out = config.settings;
+  const size_t most = most_calls(config);
+  out.slots = std::min(out.slots, most > kProbes ? static_cast<int>(most - kProbes) : 1);
+  return out;
+}
+
 Upstream::Limits upstream_limits(const Config& config) {
   Upstream::Limits out;
   out.connect_timeout = config.settings.connect_timeout;
@@ -110,12 +124,13 @@
     : io_(io),
       config_(config),
       control_(config.control
-                   ? std::make_unique<Control>(io, *config.control,
-                                               [this](const OperatorCall& call) { return operate(call); })
+                   ? std::make_unique<Control>(
+                         io, *config.control, [this](const OperatorCall& call) { return operate(call); },
+                         most_operators(config))
                    : nullptr),
       handover_(io, config.state),
       journal_(config.state, config.disk_bytes),
-      policy_(config.settings, config.seed),
+      policy_(within_descriptors(config), config.seed),
       wake_timer_(io),
       stop_timer_(io),
       notices_(io, config.discovery, [this](const std::string& id) { journal_.done(id); }),
@@ -136,6 +151,7 @@
         [this](const HostList& list) { told(list); }, [this] { open(); },
         Watch::Pace{config.settings.relays, !config.settings.ask_for_list, config.seed});
   }
+  config_.settings = within_descriptors(config_);
   recall();
   told(config_.known);
   if (config.fleet) follow();
@@ -793,6 +809,7 @@
   const bool renamed = !(next.names == config_.names);
   config_.discovery = next.discovery;
   config_.settings = next.settings;
+  config_.settings = within_descriptors(config_);
   config_.names = next.names;
   config_.report_fields = next.report_fields;
   config_.text = next.text;
--- a/tests/descriptors_test.cpp
+++ b/tests/descriptors_test.cpp
@@ -122,6 +122,41 @@
                                   std::to_string(about.param.allowed) + "Allowed";
                          });
 
+// Not by the system's word: it would allow more. Calls that are never answered, operators and clients all
+// take what they can get.
+class DescriptorsTold : public ::testing::TestWithParam<size_t> {};
+
+TEST_P(DescriptorsTold, AreNotExceededWhereAllAreInUse) {
+  const Socket silent = Socket::listen();
+  Platform platform;
+  std::vector<nlohmann::json> members;
+  for (int i = 0; i < 30; ++i) {
+    members.push_back(member_json("s-" + std::to_string(i), "127.0.0.1:" + std::to_string(silent.port()), i));
+  }
+  auto config = config_json(platform.address(), members);
+  config["control"] = "127.0.0.1:0";
+  config["limits"]["sockets"] = GetParam();
+  config["settings"]["family_info"]["calls_out"] = 1000;
+  config["settings"]["bounds"]["open_cap"] = 2000;
+  Program program(config);
+  program.start();
+  platform.open();
+  std::vector<Socket> crowd;
+  size_t most = 0;
+  for (int i = 0; i < 120; ++i) {
+    char id[17];
+    std::snprintf(id, sizeof id, "%016x", i);
+    crowd.push_back(program.client());
+    crowd.back().send(put_bytes(id, "c=safe,d=60000,dest=" + std::to_string(i % 30)));
+    EXPECT_EQ(crowd.back().line(), "+OK");
+    if (i % 4 == 0) crowd.push_back(program.operators());
+    most = std::max(most, held(program));
+  }
+  EXPECT_LE(most, GetParam());
+}
+
+INSTANTIATE_TEST_SUITE_P(Told, DescriptorsTold, ::testing::Values(64, 100, 128, 200));
+
 // The system may have none even so: an accept fails again at once, and the relay waits a little and serves
 // on.
 TEST(DescriptorsGone, AnAcceptIsTriedAgain) {
