Relay: the clients' share of descriptors follows calls_out at SIGHUP

Seen by reading: at SIGHUP the share of calls and idle connections was worked out anew, that of clients stayed as it was at the start. With calls_out raised the two were more than told together; with it lowered clients had less than they could.

At fault: Relay::apply, which told Upstream alone. Clients now hold at most their new share; those beyond go as they can be spared, by the same lingering close.

Measured: DescriptorsReloaded.ClientsHaveWhatCallsLeave, 128 told, calls_out 8 to 1000, 60 resting clients: without the mend all 60 stay, with it 38 (44 are allowed, six places are free ahead).

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -456,6 +456,7 @@
     session->check(now);
     if (finishing_ || (session->spoke() && leaving())) session->finish();
   }
+  if (accepting_ && !finishing_) make_room();  // the limit may have been lowered
   accept();
   sweeper_.expires_after(kSweep);
   sweeper_.async_wait([this](const boost::system::error_code& error) {
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -42,6 +42,9 @@
   void drain();
   void activate() { draining_since_ = 0; }
 
+  // Holds at most so many from now on: those beyond go as they can be spared.
+  void limit(size_t most) { most_ = most; }
+
   // Takes no new connection and gives those that are open away, each once it has been answered.
   void hand_over(Give give);
   int listener() { return acceptor_.is_open() ? acceptor_.native_handle() : -1; }
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -817,6 +817,7 @@
   forget_rules();
   if (held_.size() > static_cast<size_t>(config_.settings.max_open)) last_over_ = last_number_;
   happened(SettingsChanged{settings_told()});
+  if (clients_) clients_->limit(most_clients(config_));
   upstream_.set(upstream_limits(config_), config_.report_fields);
   if (renamed) {
     if (watch_) watch_->rename(config_.names);
--- a/tests/descriptors_test.cpp
+++ b/tests/descriptors_test.cpp
@@ -3,7 +3,10 @@
 #include <poll.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <chrono>
 #include <csignal>
 
 #include "peers.h"
@@ -157,6 +160,37 @@
 
 INSTANTIATE_TEST_SUITE_P(Told, DescriptorsTold, ::testing::Values(64, 100, 128, 200));
 
+// New settings may need more for calls: clients that rest leave theirs.
+TEST(DescriptorsReloaded, ClientsHaveWhatCallsLeave) {
+  Platform platform;
+  auto config = config_json(platform.address(), {});
+  config["limits"]["sockets"] = 128;
+  Program program(config);
+  program.start();
+  platform.open();
+  std::vector<Socket> resting;
+  for (int i = 0; i < 60; ++i) {
+    resting.push_back(program.client());
+    resting.back().send(kPing);
+    EXPECT_EQ(resting.back().line(), "+PONG");
+  }
+  config["settings"]["family_info"]["calls_out"] = 1000;
+  program.configure(config.dump());
+  program.signal(SIGHUP);
+  EXPECT_TRUE(program.logged("reloaded"));
+  const auto left = [&] {
+    return std::count_if(resting.begin(), resting.end(), [](const Socket& client) {
+      char byte = 0;
+      return ::recv(client.fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+    });
+  };
+  // 128 less 40 of its own: half of the rest is for calls.
+  const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(kDeadlineMs);
+  while (left() > 44 && std::chrono::steady_clock::now() < until) ::usleep(20'000);
+  EXPECT_LE(left(), 44);
+  EXPECT_GE(left(), 36);  // and a few ahead of need
+}
+
 // The system may have none even so: an accept fails again at once, and the relay waits a little and serves
 // on.
 TEST(DescriptorsGone, AnAcceptIsTriedAgain) {
