--- a/tests/descriptors_test.cpp
+++ b/tests/descriptors_test.cpp
@@ -1,5 +1,6 @@
 // Every descriptor that clients may hold is held by idle ones, while discovery goes and comes back: what else
 // the relay needs one for still gets it.
+#include <netinet/in.h>
 #include <poll.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -18,9 +19,18 @@
 
 // Discovery whose end the test decides.
 struct Platform {
-  Socket listener = Socket::listen();
+  Socket listener{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
   Socket watch;
 
+  explicit Platform(bool up = true) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(::bind(listener.fd(), reinterpret_cast<const sockaddr*>(&at), sizeof at), 0);
+    if (up) come_up();
+  }
+  void come_up() { EXPECT_EQ(::listen(listener.fd(), 64), 0); }  // calls are refused before
+
   std::string address() const { return "127.0.0.1:" + std::to_string(listener.port()); }
   // The next request whose caller still waits: while discovery is down calls come up and are given up.
   std::pair<Socket, Request> next(const std::string& method) {
@@ -61,23 +71,25 @@
 struct Limits {
   size_t told = 0;  // limits.sockets
   int allowed = 0;  // to the process
+  bool up = true;   // discovery, at first
 };
 
 class Descriptors : public ::testing::TestWithParam<Limits> {};
 
 TEST_P(Descriptors, AreLeftForAllElseWhereIdleClientsHoldTheirs) {
   Host host;
-  Platform platform;
+  Platform platform(GetParam().up);
   auto config = config_json(platform.address(), {member_json("s-1", host.address(), 7)});
   config["control"] = "127.0.0.1:0";
   config["limits"]["sockets"] = GetParam().told;
   config["limits"]["disk_mb"] = 0.05;
   Program program(config);
   program.start(GetParam().allowed);
-  platform.open();
-  platform.tell(list_json(2, true, {member_json("s-1", host.address(), 7)}));
-
-  platform.watch.close();
+  if (GetParam().up) {
+    platform.open();
+    platform.tell(list_json(2, true, {member_json("s-1", host.address(), 7)}));
+    platform.watch.close();
+  }
   std::vector<Socket> idle;
   for (size_t i = 0; i < 300; ++i) {
     idle.push_back(program.client());
@@ -100,6 +112,7 @@
 
   std::vector<Socket> stalled;  // and as many operators as are heard at once
   for (int i = 0; i < 16; ++i) stalled.push_back(program.operators());
+  platform.come_up();
   platform.open();
   platform.tell(
       list_json(3, true, {member_json("s-1", host.address(), 7), member_json("s-2", host.address(), 9)}));
@@ -119,10 +132,12 @@
 
 INSTANTIATE_TEST_SUITE_P(Limits, Descriptors,
                          ::testing::Values(Limits{1024, 1024}, Limits{128, 128}, Limits{64, 64},
-                                           Limits{1024, 96}),
+                                           Limits{1024, 96}, Limits{1024, 1024, false},
+                                           Limits{64, 64, false}),
                          [](const auto& about) {
                            return std::to_string(about.param.told) + "Told" +
-                                  std::to_string(about.param.allowed) + "Allowed";
+                                  std::to_string(about.param.allowed) + "Allowed" +
+                                  (about.param.up ? "" : "DownAtFirst");
                          });
 
 // Not by the system's word: it would allow more. Calls that are never answered, operators and clients all
