Tests: no small write is held back to clients, to hosts, and of notices

The option was set on these connections (Clients::add, Upstream connect, Notices::Post::send) with no test. The test looks at the relay's own end of each, found by the port that it leads to.

Ruled out: the watch writes one request on a fresh connection. An operator's answer is written on one that has had nothing before, and its end (shutdown of sending, Control::answer) sends the last piece of a long one.

--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -196,5 +196,40 @@
   clients.join();
 }
 
+// A reset takes along what the system still holds back of small writes: none is, to clients, to hosts, and of
+// notices. By the port that a connection leads to; the test's own ends lead to others.
+TEST(ConnectionsOfTheRelay, HoldNoSmallWriteBack) {
+  const auto at_once = [](uint16_t port) {
+    for (int fd = 0; fd < 1024; ++fd) {
+      sockaddr_in peer{};
+      socklen_t size = sizeof peer;
+      int value = 0;
+      socklen_t length = sizeof value;
+      if (::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0 && ntohs(peer.sin_port) == port &&
+          ::getsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &value, &length) == 0 && value != 0) {
+        return true;
+      }
+    }
+    return false;
+  };
+  const Folder folder;
+  Discovery discovery;
+  Host host;
+  Inside inside;
+  auto port = inside.port.get_future();
+  inside.create(config_json(discovery.address(), {member_json("s-1", host.address(), 7)}), folder.path);
+  inside.run();
+  Socket client = Socket::connect(port.get());
+  ASSERT_TRUE(client.send(put_bytes("a1", "c=unsafe,d=60000,dest=7")));
+  EXPECT_EQ(client.line(), "+OK");
+  EXPECT_TRUE(at_once(client.port()));
+  host.next();
+  EXPECT_TRUE(at_once(host.port()));
+  host.answer("500");
+  EXPECT_EQ(discovery.notice()["id"], "a1");
+  const std::string address = discovery.address();
+  EXPECT_TRUE(at_once(static_cast<uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)))));
+}
+
 }  // namespace
 }  // namespace firspool::testing
