Module: a message's notice and its end are one call

Change: end() takes the notice, which its two callers pushed by themselves ahead of it. The order of actions and of random draws is as before.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -869,15 +869,16 @@
 
   // ---- Answers that are due ----
 
-  void end(uint64_t id, bool noticed = false) {
+  void end(uint64_t id, std::optional<Action> notice = {}) {
     const auto it = messages_.find(id);
     if (it == messages_.end()) return;
     const Arrival& in = it->second.in;
     if (it->second.rules.in_order && in.key != 0) {
       if (auto& turn = turns_[in.key]; std::erase(turn, id) > 0 && turn.empty()) turns_.erase(in.key);
       Time& until = std::get<0>(key_rests_[in.key]);  // the next call must not be there ahead of the notice
-      if (noticed) until = std::max(until, now_ + kPauseMost);
+      if (notice) until = std::max(until, now_ + kPauseMost);
     }
+    if (notice) out_->push_back(*notice);
     messages_.erase(it);
   }
 
@@ -932,8 +933,7 @@
       const auto& [id, m] = *it++;  // what ends goes
       if (m.out) continue;
       if (hopeless(m) || now_ >= last_moment(m) || barred(m)) {
-        out_->push_back(refusable(m) ? Action{Refuse{id, retry_after(m)}} : Action{Fail{id}});
-        end(id, true);
+        end(id, refusable(m) ? Action{Refuse{id, retry_after(m)}} : Action{Fail{id}});
       } else {
         wake(last_moment(m));
       }
@@ -951,8 +951,7 @@
     std::sort(least.begin(), least.end());
     for (const auto& [worth, id] : least) {
       if (messages_.size() <= room) break;
-      out_->push_back(Refuse{id, retry_after(messages_.at(id))});
-      end(id, true);
+      end(id, Refuse{id, retry_after(messages_.at(id))});
     }
   }
 
