Tests: a window of one second on sockets, with SIGSTOP and a SIGKILL inside it

Change: two tests with the real process. A repeat's connection comes up after the window, because its host has room for no other (a backlog of nothing, the system asks again after a second), with the process running and with it stopped from before the window's end until after it: no byte, and a notice. A SIGKILL under the first call and a start with the same folder, at once and after the window: each repeat comes inside it, and the message ends as failed.

--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -1,4 +1,7 @@
 // The program as a whole, over loopback sockets: what it accepts, what outlasts it, and how it ends.
+#include <poll.h>
+#include <sys/socket.h>
+
 #include <csignal>
 #include <fstream>
 #include <set>
@@ -353,6 +356,94 @@
   EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
 }
 
+// ---- A window of one second for repeats ----
+
+using Clock = std::chrono::steady_clock;
+
+// A host that the test plays from its listener on: connections come up when it lets them.
+struct Second {
+  Socket host = Socket::listen();
+  Discovery discovery;
+  nlohmann::json config =
+      config_json(discovery.address(), {member_json("s-1", "127.0.0.1:" + std::to_string(host.port()), 7)});
+  Program program{short_window(config)};
+  Socket connection;
+  Clock::time_point over;  // the window of the one message
+
+  static nlohmann::json short_window(nlohmann::json& config) {
+    config["settings"]["categories"][1]["key_ttl_s"] = 1.0;
+    config["settings"]["bounds"]["connect_timeout_s"] = 5.0;
+    return config;
+  }
+  // Hands the message in and reads its first call.
+  void first() {
+    program.start();
+    Socket client = program.client();
+    client.send(put_bytes("00000000000000a1", facts("keyed")));
+    EXPECT_EQ(client.line(), "+OK");
+    connection = host.accept();
+    EXPECT_TRUE(read_request(connection));
+    over = Clock::now() + std::chrono::seconds(1);
+  }
+  // A connection to the host is asked for, and not up.
+  bool asked() const {
+    char wanted[16];
+    std::snprintf(wanted, sizeof wanted, ":%04X 02 ", host.port());
+    const auto until = Clock::now() + std::chrono::milliseconds(kDeadlineMs);
+    while (Clock::now() < until) {
+      std::ifstream table("/proc/net/tcp");
+      for (std::string line; std::getline(table, line);) {
+        if (line.find(wanted) != std::string::npos) return true;
+      }
+    }
+    return false;
+  }
+};
+
+// Its repeat's connection comes up after the window, also where the process is stopped until then.
+TEST(Window, ARepeatWhoseConnectionComesUpLateDoesNotBegin) {
+  for (const bool stopped : {false, true}) {
+    Second s;
+    s.first();
+    ::listen(s.host.fd(), 0);
+    Socket crowd = Socket::connect(s.host.port());  // the one that the host has room for
+    s.connection.reset();
+    ASSERT_TRUE(s.asked());
+    if (stopped) s.program.signal(SIGSTOP);
+    crowd = s.host.accept();
+    Socket late = s.host.accept();  // the system asks again after a second
+    ASSERT_GE(Clock::now(), s.over);
+    if (stopped) s.program.signal(SIGCONT);
+    EXPECT_EQ(s.discovery.notice()["state"], "returned");
+    char byte = 0;
+    EXPECT_LE(::recv(late.fd(), &byte, 1, MSG_DONTWAIT), 0) << "of a call";
+  }
+}
+
+TEST(Window, ARestartInsideItRepeatsInsideItOrNotAtAll) {
+  for (const bool at_once : {true, false}) {
+    Second s;
+    s.first();
+    s.program.kill();
+    s.connection.close();
+    if (!at_once) std::this_thread::sleep_until(s.over);
+    s.program.start();
+    pollfd waiting{s.host.fd(), POLLIN, 0};
+    const auto called = [&] {
+      const auto left = std::chrono::ceil<std::chrono::milliseconds>(s.over - Clock::now()).count();
+      return ::poll(&waiting, 1, static_cast<int>(std::max<int64_t>(0, left))) > 0;
+    };
+    while (called()) {
+      s.connection = s.host.accept();
+      EXPECT_TRUE(read_request(s.connection));
+      EXPECT_LT(Clock::now(), s.over);
+      s.connection.reset();
+    }
+    EXPECT_EQ(s.discovery.notice()["state"], "failed") << at_once;
+    EXPECT_EQ(::poll(&waiting, 1, 0), 0) << "a call after the window";
+  }
+}
+
 // ---- A new configuration ----
 
 TEST(Program, FollowsDiscoveryToItsNewAddress) {
