Clients: a command that is there whole is served though its time is over

Seen by reading, then in a test: a command has 2 s from its first byte to its last. Whole commands were answered "the command took too long".

Ruled out: silent clients: that branch asked for quiet() already. A client that goes on sending puts the end off only up to the parser's limit of a command.

At fault: Clients::Session::check, which did not look at what had come unread.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -186,7 +186,9 @@
   void check(Time now) {
     const Time began = state_ == State::kReading && began_ != 0 ? now - began_ : 0;
     const Time most_linger = last_ ? kMostLinger : kMostRest;
-    if (began >= kMostCommand || (!spoke_ && began >= kLeastCommand && now - since_ >= kMostSilent)) {
+    const bool late =
+        began >= kMostCommand || (!spoke_ && began >= kLeastCommand && now - since_ >= kMostSilent);
+    if (late && quiet()) {  // what has come is looked at first: this process may have been held up
       refuse("-ERR the command took too long");
     } else if (state_ == State::kReading && !spoke_ && began_ == 0 && now - since_ >= kMostSilent &&
                quiet()) {
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -167,6 +167,22 @@
   EXPECT_EQ(puts_, 1);
 }
 
+// The relay stands still for longer than a command may take, and the rest of many comes meanwhile: more than
+// one look at the system shows, so that its clock strikes before some are read.
+TEST_F(Shutdown, ACommandThatIsThereWholeIsServedHoweverLate) {
+  relay::Clients many(io_, {boost::asio::ip::address_v4::loopback(), 0}, 400,
+                      [](const relay::Handed&, const relay::Clients::Answer& answer) { answer("+OK"); });
+  std::vector<Socket> crowd;
+  for (int i = 0; i < 250; ++i) {
+    crowd.push_back(Socket::connect(many.address().port()));
+    ASSERT_TRUE(crowd.back().send(kPut.substr(0, 20)));
+  }
+  while (io_.poll() > 0) continue;
+  std::this_thread::sleep_for(std::chrono::milliseconds(2100));
+  for (const Socket& each : crowd) ASSERT_TRUE(each.send(kPut.substr(20)));
+  for (Socket& each : crowd) expect_answer(each, "+OK");
+}
+
 // The whole relay: it stood still while its time to close came, and requests with it. It ends in the turn in
 // which nothing is open any more, not before the last of them has its answer.
 TEST(ShutdownOfTheRelay, EndsOnlyWhenEachClientHasItsAnswer) {
