Order: a call whose answer was spoilt may run yet

By reading: an answer that breaks off ends as spoilt, which the platform sees as a reset; fold(AttemptEnded) and Relay::ended let a key rest after a time-out, a reset and a cancel only. Change: after a spoilt answer too, in the module, the relay (for the next process) and the tests' checker of rules. Measured: Promises.AKeyRestsBehindACallThatMayRunYet fails for a spoilt answer without it.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -467,8 +467,8 @@
     if (found == messages_.end()) return;
     Message& m = found->second;
     m.out = false;
-    const bool hanging =
-        e.outcome == Outcome::kTimeout || e.outcome == Outcome::kReset || e.outcome == Outcome::kCancelled;
+    const bool hanging = e.outcome == Outcome::kTimeout || e.outcome == Outcome::kReset ||
+                         e.outcome == Outcome::kCancelled || e.outcome == Outcome::kSpoilt;
     if (m.rules.in_order && hanging) key_rests_[m.in.key] = {now_ + set_.order_pause, e.id, attempt.call};
     if (e.final || m.withdrawn) return end(e.id);
     const bool moot = e.outcome == Outcome::kMoot;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -157,6 +157,25 @@
   EXPECT_EQ(next[0].id, 2u);
 }
 
+TEST(Promises, AKeyRestsBehindACallThatMayRunYet) {
+  for (const Outcome lost : {Outcome::kTimeout, Outcome::kReset, Outcome::kCancelled, Outcome::kSpoilt}) {
+    Settings s = plain_settings();
+    s.classes[1].in_order = true;  // unsafe: over with its call
+    s.order_pause = kSecond;
+    Relay relay(s);
+    Arrival a = relay.message(1, 0, 1);
+    Arrival b = relay.message(2, 0, 1);
+    a.key = b.key = 5;
+    const auto first = all_of<Send>(relay.step(0, {members({member(1)}), a, b}));
+    ASSERT_EQ(first.size(), 1u);
+    const auto over = relay.step(100'000, {ended(first[0], 0, lost)});
+    EXPECT_EQ(all_of<Fail>(over).size(), 1u);
+    EXPECT_TRUE(all_of<Send>(over).empty());
+    EXPECT_TRUE(all_of<Send>(relay.idle(150'000, 1'050'000)).empty()) << static_cast<int>(lost);
+    EXPECT_EQ(all_of<Send>(relay.idle(1'100'000, 3 * kSecond)).size(), 1u);
+  }
+}
+
 // A part of a bundle may end alone: the others keep its call out.
 TEST(Promises, AKeyRestsWhileTheBundleOfItsLastMessageIsOut) {
   Settings s = plain_settings();
--- a/tests/rules_checker.cpp
+++ b/tests/rules_checker.cpp
@@ -45,7 +45,8 @@
         Time& wait = waits_[limit_group(members_[sent.endpoint])];
         wait = std::max(wait, now + ended->wait);
       }
-      if (o == Outcome::kTimeout || o == Outcome::kReset || o == Outcome::kCancelled) {
+      if (o == Outcome::kTimeout || o == Outcome::kReset || o == Outcome::kCancelled ||
+          o == Outcome::kSpoilt) {
         rests_[it->second.in.key] = {now + set_.order_pause, ended->id};
       }
     } else if (const auto* gone = std::get_if<Withdrawn>(&event)) {
