Discovery: a watch that is closed in the turn in which its pause ended calls no more

Seen by reading. A pause before the next call and a handover, which closes the watch, may be due in one turn of the loop. Then the timer's handler is queued with success already, and cancel() does nothing to it: the closed watch, which has no stream, begins a call. A follower of the registry does the same, and its tick is armed anew. The process that has handed over then has a watch of its own beside its successor's until it ends.

At fault: Watch::close and Follower::close, which only cancelled, and the handlers in connect_in and Follower::tick, which looked at the error alone.

Change: close() sets the timers to a time that never comes, and the handlers look whether their timer's time is over. With that a pause that is set anew in such a turn (Watch::move) is kept too; that is by reading, no test shows it.

Ruled out by reading: a watch or follower that is gone by the time its handler runs. Both live as long as the relay, nothing resets them; and that such a call keeps a process from ending: it ends by io_.stop().

Measured: two tests let the loop stand until the timers are due and close ahead of them. With discovery.cpp as before the watch made 1 call and the loop had work left; with the follower's pause as before, and with its tick alone as before, the loop had work left. All pass with the change.

--- a/registry/follow.cpp
+++ b/registry/follow.cpp
@@ -43,14 +43,15 @@
 void Follower::close() {
   if (stream_) stream_->close();
   stream_.reset();
-  pause_.cancel();
-  tick_.cancel();
+  pause_.expires_at(std::chrono::steady_clock::time_point::max());
+  tick_.expires_at(std::chrono::steady_clock::time_point::max());
 }
 
 void Follower::connect_in(milliseconds pause) {
   pause_.expires_after(pause);
   pause_.async_wait([this](const boost::system::error_code& error) {
-    if (!error && !stream_) connect();
+    if (error || pause_.expiry() > std::chrono::steady_clock::now()) return;  // it was closed
+    if (!stream_) connect();
   });
 }
 
@@ -125,7 +126,7 @@
   heed(guard_.tick(now_ms()));
   tick_.expires_after(kTick);
   tick_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) tick();
+    if (!error && tick_.expiry() <= std::chrono::steady_clock::now()) tick();
   });
 }
 
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -51,7 +51,7 @@
   if (stream_) stream_->close();
   for (const auto& stream : old_) stream->close();
   old_.clear();
-  pause_.cancel();
+  pause_.expires_at(std::chrono::steady_clock::time_point::max());
 }
 
 void Watch::move(const tcp::endpoint& address) {
@@ -73,7 +73,8 @@
 void Watch::connect_in(milliseconds pause) {
   pause_.expires_after(pause);
   pause_.async_wait([this](const Error& error) {
-    if (!error && !stream_) connect();
+    if (error || pause_.expiry() > std::chrono::steady_clock::now()) return;  // it was closed or set anew
+    if (!stream_) connect();
   });
 }
 
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -256,6 +256,43 @@
   wait_for(told_, 9);
 }
 
+// A timer whose time is over in the very turn in which something else ends it: its handler is called all the
+// same. `first` is called ahead of the timers that ran out while the loop stood still.
+struct Turn {
+  using Clock = std::chrono::steady_clock;
+  template <class First>
+  void run(milliseconds stands, First first) {
+    boost::asio::steady_timer ahead(io, Clock::now() - std::chrono::hours(1));
+    ahead.async_wait([first](const auto&) { first(); });
+    std::this_thread::sleep_for(stands);
+    io.poll();
+  }
+  boost::asio::io_context io;
+};
+
+TEST(Crossing, AWatchThatIsClosedAsItsPauseEndsCallsNoMore) {
+  Turn turn;
+  int calls = 0;
+  Watch watch(
+      turn.io, net::parse_address("127.0.0.1:9"), ListNames{}, [&] { return ++calls; }, [](const auto&) {},
+      [] {}, Watch::Pace{1, false, 43});  // pauses 50 ms at most
+  turn.run(milliseconds(60), [&] { watch.close(); });
+  EXPECT_EQ(calls, 0);
+  EXPECT_TRUE(turn.io.stopped());  // nothing is left to do
+}
+
+TEST(Crossing, AFollowerThatIsClosedAsItsPauseEndsCallsNoMore) {
+  Turn turn;
+  registry::FollowSettings settings;
+  settings.members = {net::parse_address("127.0.0.1:9")};
+  registry::Follower::Listener listener;
+  listener.told = [](const nlohmann::json&) {};
+  listener.current = [] {};
+  registry::Follower follower(turn.io, settings, nullptr, listener);
+  turn.run(milliseconds(510), [&] { follower.close(); });  // its tick is due as well
+  EXPECT_TRUE(turn.io.stopped());
+}
+
 // The registry's members are called at the same pace.
 TEST_F(Script, AMemberThatFailsIsFollowedByAnotherCallInTime) {
   listen();
