Discovery: where lists are pushed, the first call goes out in the first turn

By reading: a new process drew a pause of up to 0.2 s ahead of its first call, out of the 0.3 s that it waits for a list before it opens, and the agent's answer took its time on top of that.

At fault: the constructor of Watch, which called connect_later() in either way. The pause spreads a fleet over a discovery that all share; an agent is this relay's own, and there is nothing to spread.

Change: with lists pushed the first pause is none. Later calls, and all calls where discovery is asked, are as before.

Measured: a test looks at one turn of the loop for 20 seeds. Without the change no call was made in it; with it one call is, for each seed.

--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -42,7 +42,11 @@
       pause_(io),
       pushed_(pace.pushed),
       backoff_(pace.callers, pace.seed) {
-  connect_later();
+  if (pushed_) {
+    connect_in(milliseconds(0));  // what the agent has counts from the first moment
+  } else {
+    connect_later();
+  }
 }
 
 Watch::~Watch() { close(); }
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -293,6 +293,19 @@
   EXPECT_TRUE(turn.io.stopped());
 }
 
+// Where lists are pushed, what the agent has counts from the first moment.
+TEST(Watch, CallsAnAgentOfItsOwnInTheFirstTurn) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    boost::asio::io_context io;
+    int calls = 0;
+    const Watch watch(
+        io, net::parse_address("127.0.0.1:9"), ListNames{}, [&] { return ++calls; }, [](const auto&) {},
+        [] {}, Watch::Pace{300, true, seed});
+    io.poll();
+    EXPECT_EQ(calls, 1) << seed;
+  }
+}
+
 // The registry's members are called at the same pace.
 TEST_F(Script, AMemberThatFailsIsFollowedByAnotherCallInTime) {
   listen();
