Discovery: blank lines are no answer while no list is known

Seen by reading. A blank line says that nothing has changed. A process that knows no host took it for an answer all the same: it counted its list as current, began its pauses anew and kept the watch for as long as blank lines came. A watch that asked from a revision whose list it does not have would wait there for a change, with no host.

At fault: Watch::line and Follower::line, which looked at no list on a blank line, and the revision that the relay gives its watch: that of its configuration even where no host is known.

Change: until a list has come, a watch whose relay knows no host (revision below 0) heeds no blank line, and 3 s after the call it is left at the next one and called anew at the pace of calls that failed. It asks from 0. A follower does the same while its guard has no revision. Once a list has come, also one of no host, blank lines hold the watch as before. The configuration's revision needs no word of its own: its list is applied before the first call. The bound is 3 s as for a call with no answer.

Measured: three tests. With the look in Watch::line and in Follower::line taken out, each stayed on its first call for 33 s (299 blank lines counted as current; 6 s allowed). With the relay's revision as before, the process had opened 1 watch after 8 s of blank lines. With the change all pass, with the other tests of discovery and the registry's 31.

--- a/registry/follow.cpp
+++ b/registry/follow.cpp
@@ -93,7 +93,10 @@
 
 bool Follower::line(const std::string& text) {
   if (text.find_first_not_of(" \r\t") == std::string::npos) {
-    if (!guard_.holds()) current();
+    if (guard_.holds()) return true;
+    // Nothing has changed: of what? Where no list is known that is no answer.
+    if (guard_.revision() < 0) return std::chrono::steady_clock::now() - called_ < kSilence;
+    current();
     return true;
   }
   Millis late = 0;
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -87,16 +87,12 @@
   const auto self = std::make_shared<net::Lines*>(nullptr);
   stream_ = std::make_shared<net::Lines>(
       io_, address_, kSilence,
-      [this, self](const std::string& text) {
-        if (!line(text)) return false;
-        answered_ = answered_ || *self == stream_.get();
-        return true;
-      },
+      [this, self](const std::string& text) { return line(text, *self == stream_.get()); },
       [this, self](net::Lines::End how) { lost(*self, how); });
   *self = stream_.get();
   called_ = std::chrono::steady_clock::now();
   answered_ = false;
-  stream_->start("/api/targets?stream=1&index=" + std::to_string(revision_()));
+  stream_->start("/api/targets?stream=1&index=" + std::to_string(std::max<int64_t>(0, revision_())));
 }
 
 void Watch::lost(net::Lines* stream, net::Lines::End how) {
@@ -113,15 +109,19 @@
   connect_in(backoff_.again(std::chrono::duration_cast<milliseconds>(since)));
 }
 
-bool Watch::line(const std::string& text) {
+bool Watch::line(const std::string& text, bool on_current) {
   try {
     if (text.find_first_not_of(" \r\t") != std::string::npos) {
       told_(parse_list(nlohmann::json::parse(text), names_));
+      listed_ = true;
+    } else if (!listed_ && revision_() < 0) {  // nothing has changed: of what? That is no answer
+      return std::chrono::steady_clock::now() - called_ < kSilence;
     }
   } catch (const std::exception&) {  // unreadable: from the start, on a new connection
     return false;
   }
   backoff_.reset();
+  answered_ = answered_ || on_current;
   current_();
   return true;
 }
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -27,7 +27,7 @@
 class Watch {
  public:
   using Told = std::function<void(const HostList&)>;
-  using Revision = std::function<int64_t()>;  // the one that is known
+  using Revision = std::function<int64_t()>;  // the one that is known; below 0: no list is
 
   // How calls are spread over time. Where lists are pushed the agent is this relay's own and answers at once,
   // and what it has counts as told: then no call waits for the fleet's others.
@@ -51,7 +51,7 @@
   void connect_later(std::chrono::milliseconds most = std::chrono::milliseconds::max());
   void connect_in(std::chrono::milliseconds pause);
   void lost(net::Lines* stream, net::Lines::End how);
-  bool line(const std::string& text);
+  bool line(const std::string& text, bool on_current);
 
   boost::asio::io_context& io_;
   tcp::endpoint address_;
@@ -64,7 +64,8 @@
   net::Backoff backoff_;
   std::shared_ptr<net::Lines> stream_;
   std::chrono::steady_clock::time_point called_;  // when that was begun,
-  bool answered_ = false;                         // and whether a line came on it
+  bool answered_ = false;                         // and whether it was answered
+  bool listed_ = false;                           // a list has come
   std::vector<std::shared_ptr<net::Lines>> old_;  // of addresses before, until they end
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -153,7 +153,7 @@
   if (!config.fleet) {
     watch_.emplace(
         io, config.discovery, config.names,
-        [this, known = config.known.revision] { return std::max(known, directory_.revision()); },
+        [this] { return directory_.hosts().empty() ? -1 : directory_.revision(); },
         [this](const HostList& list) { told(list); }, [this] { open(); },
         Watch::Pace{config.settings.relays, !config.settings.ask_for_list, config.seed});
   }
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -138,9 +138,12 @@
   }
 
   void start() {
+    start([this] { return ++calls_; });
+  }
+  void start(Watch::Revision revision) {
     watch_ = std::make_unique<Watch>(
-        io_, net::parse_address("127.0.0.1:" + std::to_string(port_)), ListNames{},
-        [this] { return ++calls_; }, [this](const HostList& list) { told_ = list.revision; }, [] {},
+        io_, net::parse_address("127.0.0.1:" + std::to_string(port_)), ListNames{}, std::move(revision),
+        [this](const HostList& list) { told_ = list.revision; }, [this] { ++current_; },
         Watch::Pace{1000, false, 43});
     runner_ = std::thread([this] { io_.run(); });
   }
@@ -165,6 +168,18 @@
     EXPECT_TRUE(read_request(out));
     return out;
   }
+  // Blank lines on a connection until the next call comes, which has to be in time.
+  Socket call_after_blanks(const Socket& connection) {
+    const auto since = Clock::now();
+    connection.send(kHeader);
+    pollfd next{socket_.fd(), POLLIN, 0};
+    while (::poll(&next, 1, 100) == 0 && Clock::now() - since < milliseconds(kDeadlineMs)) {
+      connection.send("1\r\n\n\r\n");
+    }
+    Socket out = call(socket_);
+    EXPECT_LT(std::chrono::duration_cast<milliseconds>(Clock::now() - since).count(), 6000);
+    return out;
+  }
   static void answer(const Socket& connection, int revision) {
     const std::string line = testing::list_json(revision, true, {}).dump() + "\n";
     char size[16];
@@ -184,6 +199,7 @@
   uint16_t port_ = 0;
   std::atomic<int64_t> calls_ = 0;  // that the watch began
   std::atomic<int64_t> told_ = 0;
+  std::atomic<int64_t> current_ = 0;  // times that all was told
   std::unique_ptr<Watch> watch_;
   std::thread runner_;
 };
@@ -256,6 +272,20 @@
   wait_for(told_, 9);
 }
 
+// Blank lines say that nothing has changed: to a process that knows no list they say nothing, and it asks
+// anew in time. Once there is a list they hold the watch.
+TEST_F(Script, BlankLinesAreNoAnswerWhereNoListIsKnown) {
+  listen();
+  start([this] { return told_ > 0 ? told_.load() : -1; });
+  const Socket first = call(socket_);
+  const Socket second = call_after_blanks(first);
+  EXPECT_EQ(current_, 0);
+  answer(second, 7);
+  wait_for(told_, 7);
+  second.send("1\r\n\n\r\n");
+  wait_for(current_, 2);
+}
+
 // A timer whose time is over in the very turn in which something else ends it: its handler is called all the
 // same. `first` is called ahead of the timers that ran out while the loop stood still.
 struct Turn {
@@ -327,6 +357,42 @@
   runner_.join();
 }
 
+TEST_F(Script, AMembersBlankLinesAreNoAnswerWhereNoListIsKnown) {
+  listen();
+  registry::FollowSettings settings;
+  settings.members = {net::parse_address("127.0.0.1:" + std::to_string(port_))};
+  settings.callers = 1000;
+  settings.seed = 43;
+  registry::Follower::Listener listener;
+  listener.told = [this](const nlohmann::json& list) { told_ = list.at("revision"); };
+  listener.current = [this] { ++current_; };
+  registry::Follower follower(io_, settings, nullptr, listener);
+  runner_ = std::thread([this] { io_.run(); });
+  const Socket first = call(socket_);
+  const Socket second = call_after_blanks(first);
+  EXPECT_EQ(current_, 0);
+  answer(second, 7);
+  wait_for(told_, 7);
+  second.send("1\r\n\n\r\n");
+  wait_for(current_, 2);
+  io_.stop();
+  runner_.join();
+}
+
+// The relay's own: a list with no host is none, whatever its revision.
+TEST(Watch, ThatHasOnlyBlankLinesIsOpenedAnewWhereNoHostIsKnown) {
+  testing::Discovery discovery;
+  testing::Program program(testing::config_json(discovery.address(), {}));
+  program.start();
+  const auto until = std::chrono::steady_clock::now() + milliseconds(8000);
+  while (discovery.watches() < 2 && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  EXPECT_GE(discovery.watches(), 2);
+  program.signal(SIGTERM);
+  EXPECT_EQ(program.wait(), 0);
+}
+
 // A drain that comes while a call's connection comes up: the call is not begun there.
 TEST(Drain, IsHeededByACallWhoseConnectionComesUp) {
   using namespace testing;
