--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <poll.h>
+#include <sys/mman.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -254,6 +255,21 @@
           {"settings", settings}};
 }
 
+SystemFaults::SystemFaults() {
+  file_ = std::filesystem::temp_directory_path() / "system-faults-XXXXXX";
+  const int file = ::mkstemp(file_.data());
+  constexpr size_t kSize = sizeof(SystemFaultKnobs);
+  if (file < 0 || ::ftruncate(file, kSize) != 0) throw std::runtime_error("cannot write " + file_);
+  knobs_ =
+      static_cast<SystemFaultKnobs*>(::mmap(nullptr, kSize, PROT_READ | PROT_WRITE, MAP_SHARED, file, 0));
+  ::close(file);
+}
+
+SystemFaults::~SystemFaults() {
+  ::munmap(knobs_, sizeof(SystemFaultKnobs));
+  std::filesystem::remove(file_);
+}
+
 Program::Program(nlohmann::json config) {
   std::string pattern = std::filesystem::temp_directory_path() / "umberhoist-test-XXXXXX";
   folder_ = ::mkdtemp(pattern.data());
@@ -286,6 +302,11 @@
     }
     ::setenv("PROXY_CONFIG", config.c_str(), 1);
     ::setenv("PROXY_STATE", folder.c_str(), 1);
+    if (!faults_.empty()) {
+      ::setenv(kFaultsVariable, faults_.c_str(), 1);
+      ::setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
+      ::setenv("LD_PRELOAD", SYSTEM_FAULTS, 1);
+    }
     ::execl(UMBERHOIST, UMBERHOIST, "--log-level", level_.c_str(), nullptr);
     ::_exit(127);
   }
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -17,6 +17,8 @@
 #include <thread>
 #include <vector>
 
+#include "system_faults.h"
+
 namespace firspool::testing {
 
 constexpr int kDeadlineMs = 30'000;
@@ -131,8 +133,9 @@
 
   void start(int descriptors = 0);
   bool start_refused();  // it ends by itself, with a failure, and says why in one line
-  void succeed(const Program& before) { state_ = before.state(); }  // shares its folder
-  void log_at(const std::string& level) { level_ = level; }         // from the next start on
+  void succeed(const Program& before) { state_ = before.state(); }    // shares its folder
+  void log_at(const std::string& level) { level_ = level; }           // from the next start on
+  void meet(const SystemFaults& faults) { faults_ = faults.file(); }  // from the next start on
   void configure(const std::string& text);  // replaces the file; it is read at a start or on SIGHUP
   void signal(int number);
   pid_t pid() const { return child_; }
@@ -156,6 +159,7 @@
   std::filesystem::path folder_;
   std::filesystem::path state_;
   std::string level_ = "info";
+  std::string faults_;  // of the operating system: the file that tells them; empty: none
   pid_t child_ = -1;
   uint16_t port_ = 0;
   uint16_t control_port_ = 0;  // 0: the configuration has none
--- /dev/null
+++ b/tests/system_faults_test.cpp
@@ -0,0 +1,133 @@
+// What the operating system may do to a relay: its wall clock is stepped, calls are interrupted, shortened or
+// fail for a moment, the disk refuses writes. A relay runs as a process of its own, and every rule of the
+// pages holds.
+#include <chrono>
+#include <csignal>
+#include <set>
+#include <thread>
+
+#include "peers.h"
+
+namespace firspool::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr int64_t kHourUs = int64_t{3600} * 1'000'000;
+
+int64_t ms_since(Clock::time_point begin) {
+  return std::chrono::duration_cast<milliseconds>(Clock::now() - begin).count();
+}
+
+std::string id_of(const Request& call) { return call.headers.at("x-call-id"); }
+
+// Destination 99 has a host that wants nothing new: what goes there waits until release().
+struct FaultyMachine {
+  SystemFaults faults;
+  Host host;
+  Discovery discovery;
+  nlohmann::json config =
+      config_json(discovery.address(),
+                  {member_json("s-1", host.address(), 7), member_json("s-0", host.address(), 99, "leaving")});
+  Program program{config};
+
+  FaultyMachine() { program.meet(faults); }
+  void start() {
+    program.configure(config.dump());
+    program.start();
+  }
+  void restart_killed() {
+    program.kill();
+    host.drop();
+    start();
+  }
+  nlohmann::json& category(int place) { return config["settings"]["categories"][place]; }
+  static std::string facts(const std::string& message_class, int destination, int life_ms = 60'000) {
+    return "c=" + message_class + ",d=" + std::to_string(life_ms) +
+           ",k=5c0f6e1a2b3d4c59,dest=" + std::to_string(destination);
+  }
+  std::string put(const std::string& id, const std::string& what) {
+    Socket client = program.client();
+    client.send(put_bytes(id, what));
+    return client.line();
+  }
+  void release() { discovery.tell(list_json(2, false, {member_json("s-2", host.address(), 99)})); }
+};
+
+constexpr int64_t kSteps[] = {kHourUs, -kHourUs, 30'000'000, -30'000'000};
+
+// The messages' time and the key's window are spans of real time, whatever the wall clock says behind a
+// restart.
+TEST(WallClock, StepChangesNoDeadlineAcrossARestart) {
+  for (const int64_t step : kSteps) {
+    SCOPED_TRACE(step);
+    FaultyMachine s;
+    s.start();
+    const auto begin = Clock::now();
+    ASSERT_EQ(s.put("m-short", FaultyMachine::facts("safe", 99, 3000)), "+OK");
+    ASSERT_EQ(s.put("m-long", FaultyMachine::facts("unsafe", 99, 30'000)), "+OK");
+    s.faults->wall_clock_step_us = step;
+    s.restart_killed();
+    EXPECT_EQ(s.discovery.notice().at("id"), "m-short");
+    EXPECT_GE(ms_since(begin), 2700);
+    EXPECT_LE(ms_since(begin), 3300);
+    s.release();
+    EXPECT_EQ(id_of(s.host.next()), "m-long");
+    s.host.answer("200");
+  }
+}
+
+TEST(WallClock, StepMovesNoWindowAcrossARestart) {
+  for (const int64_t step : kSteps) {
+    SCOPED_TRACE(step);
+    for (const bool inside : {true, false}) {
+      FaultyMachine s;
+      s.category(1)["key_ttl_s"] = 3.0;
+      s.start();
+      ASSERT_EQ(s.put("m-keyed", FaultyMachine::facts("keyed", 7, 20'000)), "+OK");
+      EXPECT_EQ(id_of(s.host.next()), "m-keyed");
+      s.faults->wall_clock_step_us = step;
+      s.program.kill();
+      s.host.drop();
+      if (!inside) std::this_thread::sleep_for(milliseconds(3100));
+      s.start();
+      if (inside) {
+        EXPECT_EQ(id_of(s.host.next()), "m-keyed");
+        s.host.answer("200");
+      } else {
+        EXPECT_EQ(s.discovery.notice(), nlohmann::json({{"id", "m-keyed"}, {"state", "failed"}}));
+      }
+    }
+  }
+}
+
+// A key rests behind a call that may still run, through a restart, for its whole pause and no longer.
+TEST(WallClock, StepEndsNoPauseOfAKeyInOrder) {
+  for (const int64_t step : kSteps) {
+    SCOPED_TRACE(step);
+    FaultyMachine s;
+    s.category(2)["in_order"] = true;
+    s.config["settings"]["obligations"]["order_pause_s"] = 2.0;
+    s.start();
+    Socket client = s.program.client();
+    for (const std::string id : {"a1", "a2"}) {
+      std::string bytes = put_bytes(id, FaultyMachine::facts("unsafe", 7));
+      client.send(bytes.replace(bytes.find(std::string(16, '0')), 16, "000000000000000a"));
+      ASSERT_EQ(client.line(), "+OK");
+    }
+    EXPECT_EQ(id_of(s.host.next()), "a1");
+    s.host.reset();
+    const auto broken = Clock::now();
+    EXPECT_EQ(s.discovery.notice().at("id"), "a1");
+    s.faults->wall_clock_step_us = step;
+    s.restart_killed();
+    EXPECT_EQ(id_of(s.host.next()), "a2");
+    EXPECT_GE(ms_since(broken), 1950);
+    EXPECT_LE(ms_since(broken), 4000);
+    s.host.answer("200");
+  }
+}
+
+}  // namespace
+}  // namespace firspool::testing
