--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -45,11 +45,11 @@
   return handle != handles_.end() && hosts_.at(handle->second).member.listing >= listed.member.listing;
 }
 
-void Directory::set(const ListedHost& listed, Time wall, std::vector<Member>& changed) {
+void Directory::set(const ListedHost& listed, Time now, std::vector<Member>& changed) {
   const bool left = listed.member.listing == Listing::kGone;
   auto handle = handles_.find(listed.id);
   if (handle == handles_.end()) {
-    if (left) return void(gone_.try_emplace(listed.id, wall));
+    if (left) return void(gone_.try_emplace(listed.id, now));
     handle = handles_.emplace(listed.id, Endpoint{++last_handle_, 0}).first;
   }
   ListedHost& host = hosts_[handle->second];
@@ -58,13 +58,13 @@
   changed.push_back(host.member);
   destinations_.insert(host.member.destination);
   if (left) {
-    gone_.try_emplace(listed.id, wall);
+    gone_.try_emplace(listed.id, now);
   } else {
     gone_.erase(listed.id);
   }
 }
 
-std::optional<MembersChanged> Directory::apply(const HostList& list, Time wall) {
+std::optional<MembersChanged> Directory::apply(const HostList& list, Time now) {
   const bool behind = list.revision < revision_;
   revision_ = std::max(revision_, list.revision);
   auto members = std::make_shared<std::vector<Member>>();
@@ -74,12 +74,12 @@
     for (auto& [handle, host] : hosts_) {
       if (listed.contains(host.id) || host.member.listing == Listing::kGone) continue;
       host.member.listing = Listing::kGone;
-      gone_.try_emplace(host.id, wall);
+      gone_.try_emplace(host.id, now);
       members->push_back(host.member);
     }
   }
   for (const ListedHost& listed : list.hosts) {
-    if (!behind || !brings_back(listed)) set(listed, wall, *members);
+    if (!behind || !brings_back(listed)) set(listed, now, *members);
   }
   if (members->empty()) return {};
   MembersChanged out;
@@ -103,10 +103,10 @@
   hosts_.erase(it);
 }
 
-std::vector<std::string> Directory::prune(Time wall) {
+std::vector<std::string> Directory::prune(Time now) {
   std::vector<std::string> out;
   std::erase_if(gone_, [&](const auto& entry) {
-    if (wall - entry.second < kKeepGone || handles_.contains(entry.first)) return false;
+    if (now - entry.second < kKeepGone || handles_.contains(entry.first)) return false;
     out.push_back(entry.first);
     return true;
   });
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -21,7 +21,7 @@
   std::string id;
   tcp::endpoint address;
   Member member;      // its endpoint is filled in by the Directory
-  Time up_since = 0;  // wall clock; 0: long ago
+  Time up_since = 0;  // wall clock of the platform; 0: long ago
   std::string text;   // the entry as it came
 };
 
@@ -46,7 +46,7 @@
  public:
   // Takes a list over; returns what to tell the module, if it changes anything. An agent may be behind what
   // was told before: its list then only moves hosts on, and brings none back.
-  std::optional<MembersChanged> apply(const HostList& list, Time wall);
+  std::optional<MembersChanged> apply(const HostList& list, Time now);
 
   // What is listed, read with other names for zones and kinds.
   HostList read_again(const ListNames& names) const;
@@ -69,12 +69,12 @@
   // lists.
   void forget(const Endpoint& endpoint);
   const std::map<std::string, Time>& gone() const { return gone_; }
-  void add_gone(const std::string& id, Time wall) { gone_[id] = wall; }
-  std::vector<std::string> prune(Time wall);  // the ids that are kept no longer
+  void add_gone(const std::string& id, Time now) { gone_[id] = now; }
+  std::vector<std::string> prune(Time now);  // the ids that are kept no longer
 
  private:
   bool brings_back(const ListedHost& listed) const;
-  void set(const ListedHost& listed, Time wall, std::vector<Member>& changed);
+  void set(const ListedHost& listed, Time now, std::vector<Member>& changed);
 
   int64_t revision_ = -1;
   uint32_t last_handle_ = 0;
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -20,7 +20,7 @@
 
 struct Recovered {
   Handed message;
-  Time due = 0;  // wall clock, as all times here
+  Time due = 0;  // by the DurableClock, as all times here
   int attempts = 0;
   std::map<int, Sent> unsettled;  // attempts that may have run
   std::optional<Notice> owed;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -22,6 +22,7 @@
 const std::string kRevision = "revision";
 const std::string kIdentity = "identity";
 const std::string kDestinations = "destinations";
+const std::string kClock = "clock";
 const std::string kFence = Journal::kSynced;
 
 const std::string kRefused = "-BUSY";
@@ -113,6 +114,11 @@
   return out;
 }
 
+DurableClock clock_of(const Journal& journal) {
+  const auto stored = journal.remembered().find(kClock);
+  return {DurableClock::read_machine(), stored == journal.remembered().end() ? "" : stored->second};
+}
+
 const char* name_of(Outcome outcome) {
   constexpr const char* kNames[] = {"ok",    "error",     "full", "timeout", "connect_failed",
                                     "reset", "cancelled", "moot", "spoilt"};
@@ -132,6 +138,7 @@
                    : nullptr),
       handover_(io, config.state),
       journal_(config.state, config.disk_bytes),
+      clock_(clock_of(journal_)),
       policy_(within_descriptors(config), config.seed),
       wake_timer_(io),
       stop_timer_(io),
@@ -158,6 +165,7 @@
         Watch::Pace{config.settings.relays, !config.settings.ask_for_list, config.seed});
   }
   config_.settings = within_descriptors(config_);
+  journal_.remember(kClock, clock_.text());
   recall();
   told(config_.known);
   if (config.fleet) follow();
@@ -437,13 +445,12 @@
 
 // Messages from before a restart are the module's to decide on, like any other.
 void Relay::resume() {
-  const Time now = steady_now();
-  const Time wall = wall_now();
+  const Time now = clock_.now();
   std::vector<Kept> arrivals;
   std::vector<AttemptEnded> ends;
   const auto& facts = journal_.remembered();
   for (auto it = facts.lower_bound(kRest); it != facts.end() && it->first.starts_with(kRest); ++it) {
-    if (std::stoll(it->second) <= wall) continue;
+    if (std::stoll(it->second) <= now) continue;
     Kept over;  // its message may be over, and is here for its call alone
     over.rules.in_order = true;
     over.in.id = ++last_number_;
@@ -466,7 +473,7 @@
     const uint64_t number = ++last_number_;
     Held& held = held_[number];
     held.handed = entry.message;
-    held.due = now + (entry.due - wall);
+    held.due = clock_.to_steady(entry.due);
     held.attempts = entry.attempts;
     held.accepted = true;
     held.rules = entry.rules;
@@ -493,7 +500,7 @@
     if (!unsettled.empty()) {
       const Sent& sent = unsettled.begin()->second;
       in.ran = true;
-      in.ran_sent = now + (sent.at - wall);
+      in.ran_sent = clock_.to_steady(sent.at);
       in.ran_zone = zone_of(sent);
     }
     Kept kept{in, rules_of(entry.message.message_class, entry.rules)};
@@ -534,14 +541,14 @@
 
 // The module holds what comes later under the key; the next process has to.
 void Relay::rest(uint64_t about) {
-  const Time wall = wall_now();
+  const Time now = clock_.now();
   std::vector<std::string> over;
   const auto& facts = journal_.remembered();
   for (auto it = facts.lower_bound(kRest); it != facts.end() && it->first.starts_with(kRest); ++it) {
-    if (std::stoll(it->second) <= wall) over.push_back(it->first);
+    if (std::stoll(it->second) <= now) over.push_back(it->first);
   }
   for (const std::string& name : over) journal_.remember(name, "");
-  journal_.remember(kRest + std::to_string(about), std::to_string(wall + config_.settings.order_pause));
+  journal_.remember(kRest + std::to_string(about), std::to_string(now + config_.settings.order_pause));
 }
 
 // Settings may list zones in another order than before. One that they do not name takes no repeat.
@@ -732,11 +739,11 @@
 }
 
 void Relay::told(const HostList& list) {
-  const Time wall = wall_now();
+  const Time now = clock_.now();
   const auto destinations = directory_.destinations().size();
-  auto change = directory_.apply(list, wall);
+  auto change = directory_.apply(list, now);
   journal_.remember(kRevision, std::to_string(directory_.revision()));
-  for (const std::string& id : directory_.prune(wall)) journal_.remember(kGone + id, "");
+  for (const std::string& id : directory_.prune(now)) journal_.remember(kGone + id, "");
   if (!change) return;
   const auto members = change->members;
   net::log::debug("list", "revision", directory_.revision(), "changed", members->size());
@@ -865,7 +872,7 @@
                   held->second.handed.destination, "host", host->id, "timeout_ms", call.timeout / kMs);
   const auto zone = static_cast<size_t>(host->member.zone);
   const auto& zones = config_.names.zones;
-  return journal_.attempt(held->second.handed.id, call.attempt, wall_now(), host->member.zone,
+  return journal_.attempt(held->second.handed.id, call.attempt, clock_.now(), host->member.zone,
                           zone < zones.size() ? zones[zone] : "");
 }
 
@@ -950,8 +957,7 @@
       if (const auto away = turned_away.find(item.number); away != turned_away.end()) {
         line->second = away->second;
         ++(line->second.starts_with(kRefused) ? figures.overload : figures.error);
-      } else if (journal_.accepted(handed, wall_now() + held->second.due - steady_now(),
-                                   held->second.rules)) {
+      } else if (journal_.accepted(handed, clock_.from_steady(held->second.due), held->second.rules)) {
         held->second.accepted = true;
       } else {
         line->second = kBusy;  // no room on the disk
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -17,6 +17,7 @@
 #include "control.h"
 #include "directory.h"
 #include "discovery.h"
+#include "durable_clock.h"
 #include "fence.h"
 #include "figures.h"
 #include "handover.h"
@@ -131,6 +132,7 @@
   std::map<std::string, Away> away_;
   Descriptor listener_;  // of the process before
   Journal journal_;
+  DurableClock clock_;  // of all times in the journal
   Fences fences_;
   Policy policy_;
   std::vector<Event> events_;
