--- a/tests/system_faults_test.cpp
+++ b/tests/system_faults_test.cpp
@@ -129,5 +129,29 @@
   }
 }
 
+// A told wait binds the process that takes over.
+TEST(WallClock, StepMovesNoToldWaitInAHandOver) {
+  for (const int64_t step : kSteps) {
+    SCOPED_TRACE(step);
+    FaultyMachine s;
+    s.start();
+    ASSERT_EQ(s.put("m-1", FaultyMachine::facts("safe", 7)), "+OK");
+    EXPECT_EQ(id_of(s.host.next()), "m-1");
+    s.host.answer("429", "Retry-After: 2\r\n");
+    const auto told = Clock::now();
+    std::this_thread::sleep_for(milliseconds(200));
+    s.faults->wall_clock_step_us = step;
+    Program next(s.config);
+    next.meet(s.faults);
+    next.succeed(s.program);
+    next.start();
+    s.host.drop();
+    EXPECT_EQ(id_of(s.host.next()), "m-1");
+    EXPECT_GE(ms_since(told), 1900);
+    EXPECT_LE(ms_since(told), 4000);
+    s.host.answer("200");
+  }
+}
+
 }  // namespace
 }  // namespace firspool::testing
