--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -185,8 +185,7 @@
   HostList list;
   list.complete = true;
   std::vector<DestinationMemory> memories;
-  const Time offset = steady_now() - wall_now();
-  const auto steady = [&](Time t) { return t == 0 ? 0 : t + offset; };
+  const auto steady = [this](Time t) { return t == 0 ? 0 : clock_.to_steady(t); };
   nlohmann::json members = nlohmann::json::array();
   for (const auto& [name, value] : facts) {
     const nlohmann::json fact = nlohmann::json::parse(value);
@@ -325,13 +324,12 @@
 }
 
 void Relay::remember(const DestinationMemory& memory) {
-  const Time offset = wall_now() - steady_now();
-  const auto wall = [&](Time t) { return t == 0 ? 0 : t + offset; };
+  const auto durable = [this](Time t) { return t == 0 ? 0 : clock_.from_steady(t); };
   const nlohmann::json fact = {{"tokens", memory.tokens},
-                               {"out_since", wall(memory.out_since)},
-                               {"back_since", wall(memory.back_since)},
+                               {"out_since", durable(memory.out_since)},
+                               {"back_since", durable(memory.back_since)},
                                {"base", memory.base},
-                               {"wait_until", wall(memory.wait_until)}};
+                               {"wait_until", durable(memory.wait_until)}};
   journal_.remember(kDestination + std::to_string(memory.destination), fact.dump());
 }
 
