--- a/tests/system_faults_test.cpp
+++ b/tests/system_faults_test.cpp
@@ -153,5 +153,89 @@
   }
 }
 
+struct Disturbance {
+  std::string name;
+  int shortened = 0;
+  int interrupted = 0;
+};
+
+const Disturbance kDisturbances[] = {{"short", 400, 0}, {"interrupted", 0, 300}, {"both", 300, 200}};
+
+struct DisturbedMachine : FaultyMachine {
+  void start(const Disturbance& how) {
+    FaultyMachine::start();
+    faults->short_per_mille = how.shortened;
+    faults->interrupted_per_mille = how.interrupted;
+  }
+};
+
+// Each request is answered within the time that its client waits, and called once; connections are kept.
+TEST(Disturbed, RequestsAreAnsweredAndCalledOnce) {
+  for (const Disturbance& how : kDisturbances) {
+    SCOPED_TRACE(how.name);
+    DisturbedMachine s;
+    s.start(how);
+    constexpr int kRequests = 60;
+    Socket client = s.program.client();
+    for (int i = 0; i < kRequests; ++i) {
+      const std::string id = "m-" + std::to_string(i);
+      const auto sent = Clock::now();
+      ASSERT_TRUE(client.send(put_bytes(id, FaultyMachine::facts("unsafe", 7), std::string(5000, 'x'))));
+      ASSERT_EQ(client.line(), "+OK") << id;
+      EXPECT_LE(ms_since(sent), 400) << id;
+      const Request call = s.host.next();
+      ASSERT_EQ(id_of(call), id);
+      EXPECT_EQ(call.body.size(), 5000u);
+      s.host.answer("200");
+    }
+    EXPECT_LE(s.host.connections(), 3);
+  }
+}
+
+// A drain in a long list is heeded a second after it was written, and the watch stays open.
+TEST(Disturbed, ListsAreHeardAtOnce) {
+  for (const Disturbance& how : kDisturbances) {
+    SCOPED_TRACE(how.name);
+    DisturbedMachine s;
+    s.start(how);
+    for (int revision = 2; revision < 8; ++revision) {
+      std::vector<nlohmann::json> members;
+      for (int i = 0; i < 300; ++i) {
+        members.push_back(member_json("f-" + std::to_string(i), s.host.address(), 50));
+      }
+      const std::string id = "s-" + std::to_string(revision);
+      members.push_back(member_json(id, s.host.address(), 100 + revision));
+      const auto told = Clock::now();
+      s.discovery.tell(list_json(revision, false, members));
+      const std::string what = FaultyMachine::facts("safe", 100 + revision);
+      while (s.put(id, what) != "+OK") {
+        ASSERT_LE(ms_since(told), 900) << "not heard of " << id;
+        std::this_thread::sleep_for(milliseconds(20));
+      }
+      EXPECT_EQ(id_of(s.host.next()), id);
+      s.host.answer("200");
+    }
+    EXPECT_EQ(s.discovery.watches(), 1);
+  }
+}
+
+TEST(Disturbed, OperatorsAndNoticesAreServedInTime) {
+  for (const Disturbance& how : kDisturbances) {
+    SCOPED_TRACE(how.name);
+    DisturbedMachine s;
+    s.config["control"] = "127.0.0.1:0";
+    s.start(how);
+    for (int i = 0; i < 20; ++i) {
+      const auto asked = Clock::now();
+      EXPECT_EQ(s.program.operate("GET", "/v1/metrics").first, 200);
+      EXPECT_LE(ms_since(asked), 900);
+      ASSERT_EQ(s.put("m-" + std::to_string(i), FaultyMachine::facts("safe", 99, 200)), "+OK");
+      const auto put = Clock::now();
+      EXPECT_EQ(s.discovery.notice().at("id"), "m-" + std::to_string(i));
+      EXPECT_LE(ms_since(put), 500);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace firspool::testing
