--- a/net/http.cpp
+++ b/net/http.cpp
@@ -4,13 +4,13 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <cctype>
 #include <cstdio>
 #include <iterator>
 
 #include "linger.h"
+#include "stream.h"
 
 namespace firspool::net {
 namespace {
@@ -71,10 +71,7 @@
 
 class HttpServer::Session : public HttpStream, public std::enable_shared_from_this<Session> {
  public:
-  Session(HttpServer& owner, tcp::socket socket) : owner_(&owner), stream_(std::move(socket)) {
-    Error ignored;
-    stream_.socket().set_option(tcp::no_delay(true), ignored);
-  }
+  Session(HttpServer& owner, tcp::socket socket) : owner_(&owner), stream_(std::move(socket)) {}
 
   std::list<std::shared_ptr<Session>>::iterator place;
 
@@ -220,15 +217,15 @@
 
   // A caller that goes says so by its close.
   void watch_for_end() {
-    stream_.socket().async_read_some(boost::asio::buffer(&ignored_, 1),
-                                     [self = shared_from_this()](const Error& error, size_t) {
-                                       if (self->owner_ == nullptr) return;
-                                       error ? self->end() : self->watch_for_end();
-                                     });
+    stream_.async_read_some(boost::asio::buffer(&ignored_, 1),
+                            [self = shared_from_this()](const Error& error, size_t) {
+                              if (self->owner_ == nullptr) return;
+                              error ? self->end() : self->watch_for_end();
+                            });
   }
 
   HttpServer* owner_;
-  boost::beast::tcp_stream stream_;
+  Stream stream_;
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> answer_;
@@ -333,7 +330,7 @@
     done_(std::move(reply));
   }
 
-  boost::beast::tcp_stream stream_;
+  Stream stream_;
   boost::beast::flat_buffer buffer_;
   http::request<http::string_body> request_;
   http::response_parser<http::string_body> answer_;
--- a/net/lines.cpp
+++ b/net/lines.cpp
@@ -19,7 +19,7 @@
       silence_(silence),
       line_(std::move(line)),
       ended_(std::move(ended)),
-      socket_(io),
+      stream_(io),
       timer_(io) {}
 
 const char* Lines::name_of(End how) {
@@ -35,11 +35,11 @@
   request_.target(target);
   request_.set(http::field::host, address_.address().to_string());
   parser_.body_limit(boost::none);
-  socket_.async_connect(address_, [self = shared_from_this()](const Error& error) {
+  stream_.async_connect(address_, [self = shared_from_this()](const Error& error) {
     if (error) return self->end(End::kFailed);
-    http::async_write(self->socket_, self->request_, [self](const Error& failed, size_t) {
+    http::async_write(self->stream_, self->request_, [self](const Error& failed, size_t) {
       if (failed) return self->end(End::kFailed);
-      http::async_read_header(self->socket_, self->buffer_, self->parser_, [self](const Error& none, size_t) {
+      http::async_read_header(self->stream_, self->buffer_, self->parser_, [self](const Error& none, size_t) {
         if (none || self->parser_.get().result_int() != 200) return self->end(End::kFailed);
         self->read();
       });
@@ -49,13 +49,12 @@
 
 void Lines::close() {
   ended_ = nullptr;
-  Error ignored;
-  socket_.close(ignored);
+  stream_.close();
   timer_.cancel();
 }
 
 void Lines::read() {
-  http::async_read_some(socket_, buffer_, parser_, [self = shared_from_this()](const Error& error, size_t) {
+  http::async_read_some(stream_, buffer_, parser_, [self = shared_from_this()](const Error& error, size_t) {
     if (!self->ended_) return;
     std::string& body = self->parser_.get().body();
     self->texts_.add(body);
--- a/net/lines.h
+++ b/net/lines.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "address.h"
+#include "stream.h"
 #include "texts.h"
 
 namespace firspool::net {
@@ -47,7 +48,7 @@
   std::chrono::milliseconds silence_;
   Line line_;
   std::function<void(End)> ended_;  // empty once it is closed
-  tcp::socket socket_;
+  Stream stream_;
   boost::asio::steady_timer timer_;
   boost::beast::http::request<boost::beast::http::empty_body> request_;
   boost::beast::flat_buffer buffer_;
--- a/net/linger.cpp
+++ b/net/linger.cpp
@@ -3,20 +3,18 @@
 #include <array>
 #include <memory>
 
-#include "address.h"
-
 namespace firspool::net {
 namespace {
 
 using Error = boost::system::error_code;
 
 struct Linger : std::enable_shared_from_this<Linger> {
-  boost::beast::tcp_stream& stream;
+  Stream& stream;
   size_t left;
   std::function<void()> over;
   std::array<char, 16 * 1024> rest;
 
-  Linger(boost::beast::tcp_stream& ended, size_t bytes, std::function<void()> then)
+  Linger(Stream& ended, size_t bytes, std::function<void()> then)
       : stream(ended), left(bytes), over(std::move(then)) {}
 
   void read() {
@@ -31,7 +29,7 @@
 
 }  // namespace
 
-void linger(boost::beast::tcp_stream& stream, LingerLimits most, std::function<void()> over) {
+void linger(Stream& stream, LingerLimits most, std::function<void()> over) {
   Error ignored;
   stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
   stream.expires_after(most.time);
--- a/net/linger.h
+++ b/net/linger.h
@@ -1,11 +1,12 @@
 // The end of a connection whose peer may still be sending.
 #pragma once
 
-#include <boost/beast/core/tcp_stream.hpp>
 #include <chrono>
 #include <cstddef>
 #include <functional>
 
+#include "stream.h"
+
 namespace firspool::net {
 
 struct LingerLimits {
@@ -16,6 +17,6 @@
 // A close over unread bytes would be a reset, which may overtake the last answer: the sending side ends, and
 // what still comes is thrown away, until the peer ends too or up to a limit. Then, once, `over`, which keeps
 // the stream until then.
-void linger(boost::beast::tcp_stream& stream, LingerLimits most, std::function<void()> over);
+void linger(Stream& stream, LingerLimits most, std::function<void()> over);
 
 }  // namespace firspool::net
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "net/stream.h"
 #include "resp.h"
 
 namespace firspool::relay {
@@ -110,7 +111,7 @@
 class Clients::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Clients& owner, tcp::socket socket)
-      : owner_(&owner), socket_(std::move(socket)), since_(steady_now()) {}
+      : owner_(&owner), stream_(std::move(socket)), since_(steady_now()) {}
 
   std::list<std::shared_ptr<Session>>::iterator place;
 
@@ -133,17 +134,17 @@
       began_ = steady_now();
     }
     state_ = State::kReading;
-    socket_.async_wait(tcp::socket::wait_read,
-                       [self = shared_from_this()](auto error) { self->readable(error); });
+    stream_.socket().async_wait(tcp::socket::wait_read,
+                                [self = shared_from_this()](auto error) { self->readable(error); });
     if (owner_->finishing_ || (spoke_ && owner_->leaving())) finish();
   }
 
   // Without a shutdown, which would end it for the other process as well.
   void hand_over() {
     const nlohmann::json state = {{"since", since_}, {"came", came_}, {"began", began_}, {"spoke", spoke_}};
-    owner_->give_(state.dump() + "\n" + std::string(parser_.rest()), socket_.native_handle());
+    owner_->give_(state.dump() + "\n" + std::string(parser_.rest()), stream_.socket().native_handle());
     boost::system::error_code ignored;
-    socket_.close(ignored);
+    stream_.socket().close(ignored);
     state_ = State::kClosed;
     std::exchange(owner_, nullptr)->forget(place);
   }
@@ -173,13 +174,13 @@
   void finish() {
     boost::system::error_code ignored;
     if (!spoke_ && steady_now() - since_ < kSilentLeast) return;
-    if (state_ == State::kReading && parser_.empty()) socket_.cancel(ignored);
+    if (state_ == State::kReading && parser_.empty()) stream_.socket().cancel(ignored);
   }
 
   void orphan() {
     owner_ = nullptr;
     boost::system::error_code ignored;
-    socket_.close(ignored);
+    stream_.socket().close(ignored);
   }
 
   // Ends what takes too long. Not by the time since the last byte: dribbled ones would put it off for ever.
@@ -211,7 +212,7 @@
   // Nothing has come that was not read.
   bool quiet() const {
     boost::system::error_code error;
-    return socket_.available(error) == 0 || error;
+    return stream_.socket().available(error) == 0 || error;
   }
 
   // A close with bytes unread would be a reset, which may overtake the last answer, and they may come at any
@@ -219,8 +220,8 @@
   // while. No request is taken after the end: its client hands it in again elsewhere.
   void linger() {
     boost::system::error_code ignored;
-    socket_.cancel(ignored);
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    stream_.socket().cancel(ignored);
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     parser_ = RespParser();
     since_ = steady_now();
     state_ = State::kLingering;
@@ -229,8 +230,8 @@
 
   void close() {
     boost::system::error_code ignored;
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    socket_.close(ignored);
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream_.socket().close(ignored);
     state_ = State::kClosed;
     if (owner_ != nullptr) std::exchange(owner_, nullptr)->forget(place);
   }
@@ -243,7 +244,7 @@
     if (error && error != boost::asio::error::operation_aborted) return close();
     if (error && quiet()) return linger();
     boost::system::error_code failed;
-    const size_t count = socket_.read_some(boost::asio::buffer(owner_->bytes_), failed);
+    const size_t count = stream_.read_some(boost::asio::buffer(owner_->bytes_), failed);
     if (failed == boost::asio::error::would_block) return proceed();
     if (count == 0) return close();
     const Time waiting = waited();
@@ -258,7 +259,7 @@
   Time waited() {
     tcp_info info{};
     socklen_t size = sizeof info;
-    if (::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
+    if (::getsockopt(stream_.socket().native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
     return Time{1000} * info.tcpi_last_data_recv;
   }
 
@@ -266,7 +267,11 @@
   // id.
   bool hung_up() {
     char byte = 0;
-    return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    ssize_t got = 0;
+    do {
+      got = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    } while (got < 0 && errno == EINTR);
+    return got == 0;
   }
 
   void handle(const std::vector<std::string>& words) {
@@ -295,7 +300,7 @@
     out_ = std::move(line) + "\r\n";
     state_ = State::kWriting;
     since_ = steady_now();
-    boost::asio::async_write(socket_, boost::asio::buffer(out_),
+    boost::asio::async_write(stream_, boost::asio::buffer(out_),
                              [self = shared_from_this()](auto error, size_t) {
                                if (self->owner_ == nullptr) return;
                                if (error) return self->close();
@@ -312,12 +317,12 @@
   }
 
   void linger_on() {
-    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](auto error) {
+    stream_.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](auto error) {
       if (self->owner_ == nullptr || self->state_ != State::kLingering) return;
       if (error == boost::asio::error::operation_aborted) return self->linger_on();
       if (error) return self->close();
       const ssize_t got =
-          ::recv(self->socket_.native_handle(), nullptr, kDiscardAtOnce, MSG_TRUNC | MSG_DONTWAIT);
+          ::recv(self->stream_.socket().native_handle(), nullptr, kDiscardAtOnce, MSG_TRUNC | MSG_DONTWAIT);
       if (got > 0) self->discarded_ += static_cast<size_t>(got);
       const bool empty = got < 0 && (errno == EAGAIN || errno == EINTR);
       if ((got <= 0 && !empty) || self->discarded_ > kMostDiscarded) return self->close();
@@ -326,7 +331,7 @@
   }
 
   Clients* owner_;
-  tcp::socket socket_;
+  net::Stream stream_;
   RespParser parser_;
   std::string out_;
   State state_ = State::kReading;
@@ -388,9 +393,6 @@
 }
 
 std::shared_ptr<Clients::Session> Clients::add(tcp::socket socket) {
-  boost::system::error_code ignored;
-  socket.set_option(tcp::no_delay(true), ignored);
-  socket.non_blocking(true, ignored);
   auto session = std::make_shared<Session>(*this, std::move(socket));
   session->place = sessions_.insert(sessions_.end(), session);
   return session;
--- a/relay/control.cpp
+++ b/relay/control.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <iterator>
@@ -11,6 +10,7 @@
 #include <variant>
 
 #include "net/linger.h"
+#include "net/stream.h"
 
 namespace firspool::relay {
 namespace {
@@ -160,7 +160,7 @@
   }
 
   Control* owner_;
-  boost::beast::tcp_stream stream_;
+  net::Stream stream_;
   boost::beast::flat_buffer buffer_{kMostHead + kMostBody};
   http::request_parser<http::string_body> parser_;
   http::response<http::string_body> answer_;
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -129,7 +129,7 @@
 // A kept-alive connection for notices, one request at a time.
 class Notices::Post : public std::enable_shared_from_this<Post> {
  public:
-  explicit Post(Notices& owner) : owner_(&owner), socket_(owner.io_), timer_(owner.io_) {}
+  explicit Post(Notices& owner) : owner_(&owner), stream_(owner.io_), timer_(owner.io_) {}
 
   void send(const std::string& body) {
     request_ = {};
@@ -146,11 +146,9 @@
       self->silent_ = true;
       self->end(false);
     });
-    if (socket_.is_open()) return write();
-    socket_.async_connect(owner_->address_, [self = shared_from_this()](const Error& error) {
+    if (stream_.is_open()) return write();
+    stream_.async_connect(owner_->address_, [self = shared_from_this()](const Error& error) {
       if (error) return self->end(false);
-      Error ignored;
-      self->socket_.set_option(tcp::no_delay(true), ignored);
       self->write();
     });
   }
@@ -160,17 +158,16 @@
 
   void close() {
     owner_ = nullptr;
-    Error ignored;
-    socket_.close(ignored);
+    stream_.close();
     timer_.cancel();
   }
 
  private:
   void write() {
-    http::async_write(socket_, request_, [self = shared_from_this()](const Error& error, size_t) {
+    http::async_write(stream_, request_, [self = shared_from_this()](const Error& error, size_t) {
       if (error) return self->end(false);
       self->answer_ = {};
-      http::async_read(self->socket_, self->buffer_, self->answer_, [self](const Error& failed, size_t) {
+      http::async_read(self->stream_, self->buffer_, self->answer_, [self](const Error& failed, size_t) {
         self->reusable_ = !failed && self->answer_.keep_alive();
         self->end(!failed && self->answer_.result_int() == 204);
       });
@@ -184,7 +181,7 @@
   }
 
   Notices* owner_;
-  tcp::socket socket_;
+  net::Stream stream_;
   boost::asio::steady_timer timer_;
   http::request<http::string_body> request_;
   boost::beast::flat_buffer buffer_;
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -18,6 +18,7 @@
 #include "message.h"
 #include "net/backoff.h"
 #include "net/lines.h"
+#include "net/stream.h"
 
 namespace firspool::relay {
 
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -44,9 +44,12 @@
 }
 
 // A closed or chattering peer shows in what can be read from a connection that should be silent.
-bool usable(tcp::socket& socket) {
+bool usable(net::Stream& stream) {
   char byte = 0;
-  const ssize_t got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  ssize_t got = 0;
+  do {
+    got = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  } while (got < 0 && errno == EINTR);
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -101,7 +104,7 @@
         endpoint_(calls.front().endpoint),
         address_(calls.front().address),
         probe_(probe),
-        socket_(owner.io_),
+        stream_(owner.io_),
         timer_(owner.io_) {
     for (Call& call : calls) parts_.push_back({std::move(call), {}});
   }
@@ -133,7 +136,7 @@
     }
     deadline_ = begun_ + std::min(longest, shortest);
     if (auto kept = owner_->take(endpoint_, address_)) {
-      socket_ = std::move(kept->socket);
+      stream_ = std::move(kept->stream);
       return settle(kept->since + kSettle);
     }
     connect();
@@ -144,8 +147,7 @@
   void orphan() {
     over_ = true;
     owner_ = nullptr;
-    Error ignored;
-    socket_.close(ignored);
+    stream_.close();
     timer_.cancel();
   }
 
@@ -171,26 +173,22 @@
 
   void reuse() {
     kept_ = true;
-    if (!usable(socket_)) return connect_anew();
+    if (!usable(stream_)) return connect_anew();
     arm(deadline_);
     write();
   }
 
   void connect_anew() {
     kept_ = false;
-    Error ignored;
-    socket_.close(ignored);
+    stream_.close();
     connect();
   }
 
   void connect() {
     arm(std::min(deadline_, begun_ + owner_->limits_.connect_timeout));
-    socket_.async_connect(address_, [self = shared_from_this()](const Error& error) {
+    stream_.async_connect(address_, [self = shared_from_this()](const Error& error) {
       if (self->over_) return;
       if (error) return self->finish(Outcome::kConnectFailed);
-      Error ignored;
-      self->socket_.set_option(tcp::no_delay(true), ignored);
-      self->socket_.non_blocking(true, ignored);
       self->arm(self->deadline_);
       self->write();
     });
@@ -243,7 +241,7 @@
   // that is no reset.
   bool held_back() {
     int bytes = 0;
-    return written_ && ::ioctl(socket_.native_handle(), SIOCOUTQNSD, &bytes) == 0 && bytes > 0;
+    return written_ && ::ioctl(stream_.socket().native_handle(), SIOCOUTQNSD, &bytes) == 0 && bytes > 0;
   }
 
   // What is there by now counts: the close would lose it.
@@ -251,7 +249,7 @@
     if (written_) receive();
     if (over_) return;
     Error ignored;
-    if (held_back()) socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    if (held_back()) stream_.socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
     if (heard_) return spoilt();
     finish(unanswered(outcome));
   }
@@ -271,7 +269,7 @@
       return finish(Outcome::kMoot);
     }
     // Asking puts the calls on record, and meanwhile the host may have written or ended the connection.
-    if (kept_ && !usable(socket_)) return connect_anew();
+    if (kept_ && !usable(stream_)) return connect_anew();
     for (Part& part : parts_) {
       if (!part.over && std::find(going.begin(), going.end(), &part) == going.end()) {
         end(part, Outcome::kMoot);
@@ -311,13 +309,14 @@
     while (!error && !unsent_->is_done()) {
       if (steady_now() >= due_) expire();
       if (over_) return;
-      http::write_some(socket_, *unsent_, error);
+      http::write_some(stream_, *unsent_, error);
     }
     if (error == boost::asio::error::would_block) {
-      return socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const Error& failed) {
-        if (self->over_) return;
-        failed ? self->finish(Outcome::kConnectFailed) : self->write_on();
-      });
+      return stream_.socket().async_wait(tcp::socket::wait_write,
+                                         [self = shared_from_this()](const Error& failed) {
+                                           if (self->over_) return;
+                                           failed ? self->finish(Outcome::kConnectFailed) : self->write_on();
+                                         });
     }
     if (error) return finish(Outcome::kConnectFailed);
     written_ = true;
@@ -329,7 +328,7 @@
   }
 
   void read() {
-    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const Error&) {
+    stream_.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](const Error&) {
       if (self->over_) return;
       self->receive();
       if (!self->over_) self->read();
@@ -340,7 +339,7 @@
   void receive() {
     while (!over_) {
       Error error;
-      const size_t count = socket_.read_some(buffer_.prepare(kReadAtOnce), error);
+      const size_t count = stream_.read_some(buffer_.prepare(kReadAtOnce), error);
       if (error == boost::asio::error::would_block) return;
       buffer_.commit(count);
       read_ += count;
@@ -469,10 +468,9 @@
     const auto self = shared_from_this();
     owner_->exchanges_.erase(name());
     if (idle_) {
-      owner_->keep(endpoint_, std::move(socket_));
+      owner_->keep(endpoint_, std::move(stream_));
     } else {
-      Error ignored;
-      socket_.close(ignored);
+      stream_.close();
     }
     // After silence the host's other idle connections are suspect: a call lost on one may have run, one that
     // finds no new connection has not.
@@ -507,7 +505,7 @@
   tcp::endpoint address_;
   std::vector<Part> parts_;
   bool probe_;
-  tcp::socket socket_;
+  net::Stream stream_;
   boost::asio::steady_timer timer_;
   http::request<http::string_body> request_;
   std::optional<http::request_serializer<http::string_body>> unsent_;
@@ -610,17 +608,17 @@
     it->second.pop_back();
     --idle_count_;
     Error gone;
-    const bool same = last.socket.remote_endpoint(gone) == address && !gone;
+    const bool same = last.stream.socket().remote_endpoint(gone) == address && !gone;
     const bool young = steady_now() - last.since < limits_.idle - kIdleMargin;
-    if (same && young && usable(last.socket)) return last;
+    if (same && young && usable(last.stream)) return last;
   }
   return {};
 }
 
-void Upstream::keep(const Endpoint& endpoint, tcp::socket socket) {
+void Upstream::keep(const Endpoint& endpoint, net::Stream stream) {
   std::vector<Idle>& list = idle_[endpoint];
   if (list.size() >= kMostPerHost || exchanges_.size() + idle_count_ >= limits_.most_open) return;
-  list.push_back({std::move(socket), steady_now()});
+  list.push_back({std::move(stream), steady_now()});
   ++idle_count_;
 }
 
@@ -637,7 +635,7 @@
   const Time now = steady_now();
   for (auto& [endpoint, list] : idle_) {
     idle_count_ -= std::erase_if(list, [&](Idle& idle) {
-      return now - idle.since >= limits_.idle - kIdleMargin || !usable(idle.socket);
+      return now - idle.since >= limits_.idle - kIdleMargin || !usable(idle.stream);
     });
   }
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -14,6 +14,7 @@
 
 #include "directory.h"
 #include "message.h"
+#include "net/stream.h"
 
 namespace firspool::relay {
 
@@ -74,12 +75,12 @@
  private:
   class Exchange;
   struct Idle {
-    tcp::socket socket;
+    net::Stream stream;
     Time since = 0;
   };
 
   std::optional<Idle> take(const Endpoint& endpoint, const tcp::endpoint& address);
-  void keep(const Endpoint& endpoint, tcp::socket socket);
+  void keep(const Endpoint& endpoint, net::Stream stream);
   void start(std::shared_ptr<Exchange> exchange);
   void close_oldest();
   void sweep();
