--- a/tests/system_faults_test.cpp
+++ b/tests/system_faults_test.cpp
@@ -237,5 +237,94 @@
   }
 }
 
+// Sockets may be refused for a moment: the process starts, and operators and clients are served.
+TEST(Shortage, DelaysAStartAndEndsNone) {
+  for (const int code : {ENFILE, EMFILE, ENOBUFS, ENOMEM}) {
+    FaultyMachine s;
+    s.config["control"] = "127.0.0.1:0";
+    s.faults->socket_errno = code;
+    s.faults->socket_failures = 4;
+    s.start();
+    EXPECT_EQ(s.program.operate("GET", "/v1/readyz").first, 200);
+    EXPECT_EQ(s.put("m-1", FaultyMachine::facts("safe", 7)), "+OK");
+    EXPECT_EQ(id_of(s.host.next()), "m-1");
+    s.host.answer("200");
+  }
+}
+
+// No call was made: a message that may be tried once only has that try left, and is tried soon.
+TEST(Shortage, OfConnectionsCostsNoAttempt) {
+  for (const int code : {EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EINTR, ECONNABORTED}) {
+    FaultyMachine s;
+    s.config["settings"]["bounds"]["max_attempts"] = 1;
+    s.start();
+    s.faults->connect_errno = code;
+    s.faults->connect_failures = 3;
+    ASSERT_EQ(s.put("m-1", FaultyMachine::facts("unsafe", 7)), "+OK");
+    EXPECT_EQ(id_of(s.host.next()), "m-1");
+    s.host.answer("200");
+  }
+}
+
+// Requests that stand in the listener's queue are answered, though accepts fail for a moment.
+TEST(Shortage, OfAcceptsLosesNoRequestAtTheEnd) {
+  for (const int code : {ENFILE, EMFILE, ENOBUFS, EPROTO, ECONNABORTED, EINTR, ENETDOWN}) {
+    FaultyMachine s;
+    s.start();
+    s.faults->accept_errno = code;
+    s.faults->accept_failures = 1'000'000;
+    std::vector<Socket> clients;
+    for (int i = 0; i < 5; ++i) {
+      clients.push_back(s.program.client());
+      clients.back().send(put_bytes("m-" + std::to_string(i), FaultyMachine::facts("safe", 99)));
+    }
+    s.program.signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(800));
+    s.faults->accept_failures = 0;
+    for (Socket& client : clients) EXPECT_EQ(client.line(), "+OK") << code;
+  }
+}
+
+// A message that was given back is told so only once that is on the disk: else the next process, which knows
+// nothing of it, calls it beside the copy that its client hands in again.
+TEST(FullDiskAtAnEnd, TellsNoEndThatAKillCanUndo) {
+  for (const int code : {ENOSPC, EIO}) {
+    FaultyMachine s;
+    s.config["settings"]["family_info"]["calls_out"] = 1;
+    s.start();
+    ASSERT_EQ(s.put("m-out", FaultyMachine::facts("safe", 7, 60'000)), "+OK");
+    EXPECT_EQ(id_of(s.host.next()), "m-out");
+    ASSERT_EQ(s.put("m-untried", FaultyMachine::facts("unsafe", 7, 20'000)), "+OK");
+    s.faults->file_errno = code;
+    s.host.answer("429", "Retry-After: 30\r\n");  // outlasts the other message: it is given back
+    std::this_thread::sleep_for(milliseconds(600));
+    s.program.kill();
+    s.faults->file_errno = 0;
+    s.host.drop();
+    s.start();
+    std::set<std::string> called;
+    for (int i = 0; i < 2; ++i) {
+      called.insert(id_of(s.host.next()));
+      s.host.answer("200");
+    }
+    ASSERT_TRUE(called.contains("m-untried"));
+    ASSERT_EQ(s.put("m-later", FaultyMachine::facts("safe", 99, 200)), "+OK");
+    EXPECT_EQ(s.discovery.notice().at("id"), "m-later");  // the first that was told of at all
+  }
+}
+
+// With the disk gone for good each message still has its end in time, and none that a client may take as a
+// promise.
+TEST(FullDiskAtAnEnd, StillTellsItInTime) {
+  FaultyMachine s;
+  s.start();
+  const auto put = Clock::now();
+  ASSERT_EQ(s.put("m-1", FaultyMachine::facts("unsafe", 99, 1500)), "+OK");
+  s.faults->file_errno = ENOSPC;
+  EXPECT_EQ(s.discovery.notice().at("id"), "m-1");
+  EXPECT_GE(ms_since(put), 1400);
+  EXPECT_LE(ms_since(put), 1800);
+}
+
 }  // namespace
 }  // namespace firspool::testing
