--- a/net/address.cpp
+++ b/net/address.cpp
@@ -1,11 +1,20 @@
 #include "address.h"
 
 #include <charconv>
+#include <chrono>
 #include <stdexcept>
+#include <thread>
 
 #include "error.h"
+#include "stream.h"
 
 namespace firspool::net {
+namespace {
+
+constexpr std::chrono::seconds kMostShortage{5};
+constexpr std::chrono::milliseconds kShortagePause{10};
+
+}  // namespace
 
 tcp::endpoint parse_address(const std::string& text) {
   const size_t colon = text.rfind(':');
@@ -21,7 +30,12 @@
 
 void listen(tcp::acceptor& acceptor, const tcp::endpoint& address) {
   boost::system::error_code error;
+  const auto until = std::chrono::steady_clock::now() + kMostShortage;
   acceptor.open(address.protocol(), error);
+  while (is_passing_shortage(error) && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(kShortagePause);
+    acceptor.open(address.protocol(), error);
+  }
   if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
   if (!error) acceptor.bind(address, error);
   if (!error) acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -16,7 +16,7 @@
 namespace firspool::relay {
 namespace {
 
-constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+constexpr auto kAcceptPause = std::chrono::milliseconds(20);
 constexpr auto kSweep = std::chrono::milliseconds(100);
 constexpr Time kSecond = 1'000'000;
 // A client that cannot be served is owed an error or a close within 3 s of connecting.
@@ -376,10 +376,8 @@
     accepting_ = false;
     tcp::socket socket(io_);
     if (!error) acceptor_.accept(socket, error);
-    if (error == boost::asio::error::would_block) return accept();
-    if (error) {  // out of descriptors, or the client is gone again: an accept at once would spin
-      return accept_in(kAcceptPause);
-    }
+    if (error == boost::asio::error::would_block || net::is_lost_connection(error)) return accept();
+    if (error) return accept_in(kAcceptPause);  // out of descriptors: an accept at once would spin
     add(std::move(socket))->proceed();
     accept();
   });
@@ -479,24 +477,41 @@
 
 bool Clients::leaving() const { return draining_since_ != 0 && steady_now() - draining_since_ >= kServeOn; }
 
-// Connections that are there already, with a request or not, would be reset with the listener.
+// Connections that are there already, with a request or not, would be reset with the listener: it is closed
+// once none waits. Until then descriptors may run short, or all places may be taken.
 void Clients::accept_rest() {
   boost::system::error_code error;
-  while ((!error || error == boost::asio::error::connection_aborted) && sessions_.size() < most_) {
+  while (!error && sessions_.size() < most_) {
     tcp::socket socket(io_);
     acceptor_.accept(socket, error);
-    if (!error) add(std::move(socket))->proceed();
+    if (net::is_lost_connection(error)) {
+      error.clear();
+    } else if (!error) {
+      add(std::move(socket))->proceed();
+    }
+  }
+  if (error == boost::asio::error::would_block) {
+    acceptor_.close(error);
+    return;
   }
+  pause_.expires_after(kAcceptPause);
+  pause_.async_wait([this](const boost::system::error_code& stopped) {
+    if (!stopped && acceptor_.is_open()) accept_rest();
+  });
 }
 
 void Clients::finish() {
   if (finishing_) return;
-  if (!give_ && acceptor_.is_open()) accept_rest();  // else the other process has the listener
   finishing_ = true;
   boost::system::error_code ignored;
-  acceptor_.close(ignored);
   pause_.cancel();
+  acceptor_.cancel(ignored);
   for (const auto& session : sessions_) session->finish();
+  if (give_) {  // the other process has the listener
+    acceptor_.close(ignored);
+  } else if (acceptor_.is_open()) {
+    accept_rest();
+  }
 }
 
 }  // namespace firspool::relay
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -32,10 +32,11 @@
 
   tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
-  // Takes no new connection but those that are there, and ends all that are open, each only between requests.
+  // Takes no new connection but those that are there, as soon as there is room for them, and ends all that
+  // are open, each only between requests.
   void finish();
   bool ended() const {
-    return finishing_ && sessions_.empty();
+    return finishing_ && sessions_.empty() && !acceptor_.is_open();
   }  // and the clients have ended theirs, or had time
 
   // Says no to PING, and a little later closes connections between requests, while it still listens.
--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -18,7 +18,9 @@
 #include <vector>
 
 #include "errors.h"
+#include "net/files.h"
 #include "net/log.h"
+#include "net/stream.h"
 
 namespace firspool::relay {
 namespace {
@@ -29,6 +31,7 @@
 // drops then is its clients.
 constexpr auto kMostWait = std::chrono::seconds(5);
 constexpr auto kPoll = std::chrono::milliseconds(20);
+constexpr auto kOfferPause = std::chrono::milliseconds(50);
 constexpr size_t kMostParcel = 320 * 1024;  // a client's bytes: one read beside a command not yet whole
 
 std::pair<sockaddr_un, socklen_t> local_address(const std::string& name) {
@@ -59,9 +62,9 @@
 }
 
 Handover::Handover(boost::asio::io_context& io, const std::filesystem::path& folder)
-    : before_(io), listener_(io), after_(io) {
+    : before_(io), listener_(io), after_(io), retry_(io) {
   const auto lock = folder / "lock";
-  lock_ = Descriptor(::open(lock.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+  lock_ = Descriptor(net::open_file(lock, O_RDWR | O_CREAT, kMostWait));
   struct stat about {};
   if (lock_.get() < 0 || ::fstat(lock_.get(), &about) != 0) {
     throw StateUnusable("cannot open " + lock.string() + ": " + std::strerror(errno));
@@ -171,19 +174,27 @@
 }
 
 void Handover::offer(std::function<void()> asked) {
+  asked_ = std::move(asked);
   Descriptor socket(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
   const auto [address, size] = local_address(name_);
   if (socket.get() < 0 || ::bind(socket.get(), reinterpret_cast<const sockaddr*>(&address), size) != 0 ||
       ::listen(socket.get(), 4) != 0) {
+    if (net::is_passing_shortage(Error(errno, boost::system::system_category()))) return offer_later();
     // Some platforms refuse local sockets. Only an upgrade under load needs one.
     net::log::failed(net::log::Level::kWarn, "no_handover", NoHandover(std::strerror(errno)));
     return;
   }
-  asked_ = std::move(asked);
   listener_.assign(socket.release());
   await_successor();
 }
 
+void Handover::offer_later() {
+  retry_.expires_after(kOfferPause);
+  retry_.async_wait([this](const Error& error) {
+    if (!error) offer(std::move(asked_));
+  });
+}
+
 void Handover::await_successor() {
   listener_.async_wait(Stream::wait_read, [this](const Error& error) {
     if (error) return;
--- a/relay/handover.h
+++ b/relay/handover.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <filesystem>
 #include <functional>
 #include <optional>
@@ -76,12 +77,14 @@
   static std::optional<Parcel> receive(Stream& from);
   void listen_to(Stream& from, Heard heard);
   void await_successor();
+  void offer_later();  // sockets run short for a moment
 
   Descriptor lock_;
   std::string name_;  // of the local socket
   Stream before_;
   Stream listener_;
   Stream after_;
+  boost::asio::steady_timer retry_;
   std::function<void()> asked_;
 };
 
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -11,6 +11,7 @@
 #include <stdexcept>
 
 #include "errors.h"
+#include "net/files.h"
 
 namespace firspool::relay {
 namespace {
@@ -19,6 +20,7 @@
 constexpr double kAcceptPart = 0.75;  // of the file: the rest is for the records that follow
 constexpr size_t kReserve = 512;      // for a message's attempts and its end
 constexpr size_t kHeader = 8;         // length and checksum
+constexpr std::chrono::seconds kOpenPatience{5};
 
 enum Kind : char { kAccepted = 'A', kAttempt = 'T', kNeverRan = 'N', kOwed = 'O', kDone = 'D', kFact = 'F' };
 
@@ -98,7 +100,7 @@
       most_file_(static_cast<size_t>(kFilePart * static_cast<double>(disk_bytes))) {
   std::error_code ignored;
   std::filesystem::remove(fresh_path_, ignored);
-  file_ = ::open(path_.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  file_ = net::open_file(path_, O_RDWR | O_CREAT | O_APPEND, kOpenPatience);
   if (file_ < 0) throw StateUnusable("cannot open " + path_.string() + ": " + std::strerror(errno));
   replay();
 }
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -85,6 +85,25 @@
   EXPECT_EQ(puts_, 3);
 }
 
+// All places are taken by commands that are never finished: their clients get an error in time, and then
+// those that wait are served.
+TEST_F(Shutdown, ConnectionsThatWaitBehindAFullHouseAreAnswered) {
+  std::vector<Socket> unfinished;
+  for (int i = 0; i < 16; ++i) {
+    unfinished.push_back(client());
+    ASSERT_TRUE(unfinished.back().send(kPut.substr(0, 20)));
+    for (int turn = 0; turn < 4; ++turn) io_.poll();
+  }
+  std::vector<Socket> waiting;
+  for (int i = 0; i < 3; ++i) {
+    waiting.push_back(client());
+    ASSERT_TRUE(waiting.back().send(kPut));
+  }
+  clients_.finish();
+  for (Socket& each : waiting) expect_answer(each, "+OK");
+  EXPECT_EQ(puts_, 3);
+}
+
 // The client's request is on its way while the relay ends the connection: it must see an end, not a reset,
 // which could take an answer with it; and the request is not taken on, as the client sends it once more.
 TEST_F(Shutdown, ARequestThatCrossesTheEndIsNeitherTakenOnNorReset) {
