--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -266,8 +266,8 @@
   append(id, Writer(kNeverRan, id).number(number).payload());
 }
 
-void Journal::owed(const Notice& notice) {
-  append(notice.id, Writer(kOwed, notice.id).number(notice.returned).number(notice.after).payload());
+bool Journal::owed(const Notice& notice) {
+  return append(notice.id, Writer(kOwed, notice.id).number(notice.returned).number(notice.after).payload());
 }
 
 void Journal::done(const std::string& id) {
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -48,7 +48,8 @@
   // False: it could not be written, and the call must not start.
   bool attempt(const std::string& id, int number, Time sent, int zone, const std::string& zone_name = {});
   void never_ran(const std::string& id, int number);
-  void owed(const Notice& notice);
+  // False: not written yet; settle() does it. Until then the next process knows nothing of the end.
+  bool owed(const Notice& notice);
   void done(const std::string& id);
   // Writes what a full disk held back; false where there is still no room.
   bool settle() { return !behind_ || compact(); }
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -35,6 +35,7 @@
 constexpr Time kFirstWord = 300 * kMs;   // discovery answers at once, unless it is down
 constexpr Time kClockSlack = 100 * kMs;  // clients round what they measure
 constexpr Time kRetire = 5000 * kMs;     // longer than any wait after which a refused client comes again
+constexpr Time kRecordPause = 50 * kMs;  // between two tries of what the disk does not take
 constexpr Time kTransit = 2 * kMs;       // a message's time runs from its client's sending
 
 // The descriptors: those of the process itself, clients, and calls with their idle connections. Calls have
@@ -142,6 +143,7 @@
       policy_(within_descriptors(config), config.seed),
       wake_timer_(io),
       stop_timer_(io),
+      record_timer_(io),
       notices_(io, config.discovery,
                [this](const std::string& id) {
                  journal_.done(id);
@@ -1065,8 +1067,7 @@
     ++(notice->returned ? figures.overload : figures.error);
     const Handed& over = held->second.handed;
     if (in_turn(rules_of(over.message_class, held->second.rules), over.about)) untold_[over.id] = over.about;
-    journal_.owed(*notice);
-    notices_.add(std::move(*notice));
+    tell_end({std::move(*notice), held->second.due});
   } else {
     journal_.done(held->second.handed.id);
   }
@@ -1080,6 +1081,31 @@
   happened(SettingsChanged{settings_told()});
 }
 
+// Its client may hand a message in again once it is told of the end: the next process must not call it then.
+// So the record comes first; without one the notice waits until the message's time is over, when no process
+// calls it either.
+void Relay::tell_end(UnrecordedEnd end) {
+  if (journal_.owed(end.notice) || end.due <= steady_now() + kRecordPause)
+    return notices_.add(std::move(end.notice));
+  unrecorded_ends_.push_back(std::move(end));
+  if (unrecorded_ends_.size() == 1) record_ends();
+}
+
+void Relay::record_ends() {
+  record_timer_.expires_after(std::chrono::microseconds(kRecordPause));
+  record_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error || handed_over_) return;
+    const bool recorded = journal_.settle();
+    const Time over = steady_now() + kRecordPause;
+    std::vector<UnrecordedEnd> left;
+    for (UnrecordedEnd& end : std::exchange(unrecorded_ends_, {})) {
+      recorded || end.due <= over ? notices_.add(std::move(end.notice)) : left.push_back(std::move(end));
+    }
+    unrecorded_ends_ = std::move(left);
+    if (!unrecorded_ends_.empty()) record_ends();
+  });
+}
+
 void Relay::arm() {
   if (wake_ == armed_) return;
   armed_ = wake_;
@@ -1124,7 +1150,8 @@
     closed_ = true;
     if (clients_) clients_->finish();
   }
-  const bool idle = !handed_over_ && held_.empty() && notices_.empty() && (!clients_ || clients_->ended());
+  const bool idle = !handed_over_ && held_.empty() && unrecorded_ends_.empty() && notices_.empty() &&
+                    (!clients_ || clients_->ended());
   if (age >= kLastCall || (closed_ && idle)) return io_.stop();
   stop_timer_.expires_after(std::chrono::microseconds(kStopPoll));
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -66,6 +66,11 @@
     Arrival::Out call;
     std::optional<Kept> untold;  // its host is not listed any more: told once the call has ended
   };
+  struct UnrecordedEnd {  // the disk did not take its record: told once it has, or when no process calls the
+                          // message any more
+    Notice notice;
+    Time due = 0;
+  };
   struct Pending {  // handed in during this turn, not yet decided on
     uint64_t number = 0;
     Clients::Answer answer;
@@ -116,6 +121,8 @@
   void join(Call call, int kind);
   void start_call(std::vector<Call> bundle);
   void finish(uint64_t number, std::optional<Notice> notice);
+  void tell_end(UnrecordedEnd end);
+  void record_ends();
   void arm();
   Time closing_at() const;
   void wait_for_end();
@@ -150,6 +157,8 @@
   Time armed_ = 0;                          // and for when the timer is set
   boost::asio::steady_timer wake_timer_;
   boost::asio::steady_timer stop_timer_;
+  boost::asio::steady_timer record_timer_;
+  std::vector<UnrecordedEnd> unrecorded_ends_;
   Time stopping_since_ = 0;  // 0: not stopping
   bool closed_ = false;      // clients were let go
   Notices notices_;
