--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <fstream>
 #include <queue>
+#include <set>
 #include <thread>
 
 #include "net/backoff.h"
@@ -272,6 +273,37 @@
   wait_for(told_, 9);
 }
 
+// New configurations in quick succession: 4 s after the first of them all counts as told, wherever the last
+// one points.
+TEST(Watch, CallsInTimeThroughMovesInSeries) {
+  constexpr int kWatches = 60;
+  boost::asio::io_context io;
+  std::vector<Socket> listeners;
+  for (int i = 0; i < 5; ++i) listeners.push_back(Socket::listen());
+  const auto address = [&](size_t place) {
+    return net::tcp::endpoint(boost::asio::ip::address_v4::loopback(), listeners[place].port());
+  };
+  std::vector<std::unique_ptr<Watch>> watches;
+  for (int i = 0; i < kWatches; ++i) {
+    watches.push_back(std::make_unique<Watch>(
+        io, address(0), ListNames{}, [i] { return i; }, [](const HostList&) {}, [] {},
+        Watch::Pace{1000, false, static_cast<uint64_t>(i)}));
+  }
+  const auto first = std::chrono::steady_clock::now();
+  for (size_t move = 1; move < listeners.size(); ++move) {
+    for (const auto& watch : watches) watch->move(address(move));
+    io.run_until(first + milliseconds(move + 1 < listeners.size() ? 900 * move : 3600));
+  }
+  std::set<std::string> called;
+  for (const Socket& listener : listeners) {
+    for (pollfd waiting{listener.fd(), POLLIN, 0}; ::poll(&waiting, 1, 0) > 0;) {
+      Socket call = listener.accept();
+      if (const auto request = read_request(call)) called.insert(request->first);
+    }
+  }
+  EXPECT_EQ(called.size(), kWatches);
+}
+
 // Blank lines say that nothing has changed: to a process that knows no list they say nothing, and it asks
 // anew in time. Once there is a list they hold the watch.
 TEST_F(Script, BlankLinesAreNoAnswerWhereNoListIsKnown) {
