--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -67,7 +67,9 @@
     old_.erase(old_.begin());
   }
   backoff_.reset();
-  connect_later(kAfterMove);
+  const auto now = std::chrono::steady_clock::now();
+  if (!told_by_) told_by_ = now + kAfterMove;  // further moves put that off no further
+  connect_later(std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(*told_by_ - now)));
 }
 
 void Watch::connect_later(milliseconds most) {
@@ -122,6 +124,7 @@
   }
   backoff_.reset();
   answered_ = answered_ || on_current;
+  if (on_current) told_by_.reset();
   current_();
   return true;
 }
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -66,6 +66,8 @@
   std::shared_ptr<net::Lines> stream_;
   std::chrono::steady_clock::time_point called_;  // when that was begun,
   bool answered_ = false;                         // and whether it was answered
+  std::optional<std::chrono::steady_clock::time_point>
+      told_by_;                                   // since a move: the next call is made by then
   bool listed_ = false;                           // a list has come
   std::vector<std::shared_ptr<net::Lines>> old_;  // of addresses before, until they end
 };
