--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -291,6 +291,43 @@
   }
 }
 
+// Attempts are allowed by the settings under which a message came; those that began no call are none.
+TEST(Recovery, KeepsTheAttemptsThatAMessageHas) {
+  Restarted s;
+  s.program.start();
+  EXPECT_EQ(s.put("m-1", facts("safe")), "+OK");
+  for (int i = 0; i < 2; ++i) {
+    EXPECT_EQ(id_of(s.host.next()), "m-1");
+    s.host.answer("503");
+  }
+  s.config["settings"]["bounds"]["max_attempts"] = 2;
+  s.restart();
+  EXPECT_EQ(id_of(s.host.next()), "m-1");
+  s.host.answer("200");
+}
+
+TEST(Recovery, CountsNoAttemptThatBeganNoCall) {
+  Restarted s;
+  Socket nobody = Socket::listen();
+  const auto gone = member_json("s-3", "127.0.0.1:" + std::to_string(nobody.port()), 9);
+  nobody.close();
+  s.config["settings"]["bounds"]["max_attempts"] = 2;
+  s.config["known"] = list_json(1, true, {gone});
+  s.program.configure(s.config.dump());
+  s.program.log_at("debug");
+  s.program.start();
+  EXPECT_EQ(s.put("m-1", facts("unsafe", 9)), "+OK");
+  for (int i = 0; i < 3; ++i) ASSERT_TRUE(s.program.logged("call_ended"));
+  s.discovery.tell(list_json(2, true, {member_json("s-1", s.host.address(), 9)}));
+  EXPECT_EQ(id_of(s.host.next()), "m-1");
+  s.host.answer("503");
+  ASSERT_TRUE(s.program.logged("call_ended"));
+  s.restart();
+  EXPECT_EQ(id_of(s.host.next()), "m-1");
+  s.host.answer("503");
+  EXPECT_EQ(s.discovery.notice().at("state"), "returned");
+}
+
 // What is remembered of rules goes with the last message that came under them.
 TEST(Recovery, ForgetsRulesThatNoMessageHas) {
   Restarted s;
