--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -140,6 +140,8 @@
   int destination = 0;
   // Of a message that is resumed after a restart: what became of it before. Attempts are counted on.
   int attempts = 0;
+  int most_attempts =
+      0;              // how many it may have, those that began no call beside them; 0: as the settings say
   bool ran = false;   // an attempt may have run
   Time ran_sent = 0;  // when the first such attempt was sent
   int ran_zone = 0;
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -161,6 +161,7 @@
   if (kind == kAttempt) {
     const int number = static_cast<int>(in.number());
     const Time sent = in.number();
+    if (number >= entry.attempts) ++entry.begun;  // a call that needs a new connection is put on record again
     entry.attempts = number + 1;
     Sent& attempt = entry.unsettled[number] = {sent, static_cast<int>(in.number()), ""};
     if (in.more()) attempt.zone_name = in.text();  // not in older records
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -20,8 +20,9 @@
 
 struct Recovered {
   Handed message;
-  Time due = 0;  // by the DurableClock, as all times here
-  int attempts = 0;
+  Time due = 0;                   // by the DurableClock, as all times here
+  int attempts = 0;               // one more than the last one's number
+  int begun = 0;                  // of these, those that began a call
   std::map<int, Sent> unsettled;  // attempts that may have run
   std::optional<Notice> owed;
   int64_t rules = 0;  // as told with it; 0: not told
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -88,33 +88,6 @@
   return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed || outcome == Outcome::kMoot;
 }
 
-std::string class_text(const ClassSettings& c) {
-  return nlohmann::json{{"effect", static_cast<int>(c.effect)},
-                        {"scope", static_cast<int>(c.key_scope)},
-                        {"window", c.key_window},
-                        {"in_order", c.in_order},
-                        {"target", c.target},
-                        {"give_up", c.give_up},
-                        {"worth", c.worth},
-                        {"late_worth", c.late_worth}}
-      .dump();
-}
-
-ClassSettings read_class(const std::string& name, const std::string& text) {
-  const nlohmann::json json = nlohmann::json::parse(text);
-  ClassSettings out;
-  out.name = name;
-  out.effect = static_cast<Effect>(json.at("effect").get<int>());
-  out.key_scope = static_cast<KeyScope>(json.at("scope").get<int>());
-  out.key_window = json.at("window").get<Time>();
-  out.in_order = json.at("in_order").get<bool>();
-  out.target = json.at("target").get<Time>();
-  out.give_up = json.at("give_up").get<Time>();
-  out.worth = json.at("worth").get<double>();
-  out.late_worth = json.at("late_worth").get<double>();
-  return out;
-}
-
 DurableClock clock_of(const Journal& journal) {
   const auto stored = journal.remembered().find(kClock);
   return {DurableClock::read_machine(), stored == journal.remembered().end() ? "" : stored->second};
@@ -255,7 +228,7 @@
 int64_t Relay::rules_now(const std::string& message_class) {
   int64_t& number = rules_[message_class];
   if (number != 0) return number;
-  const std::string text = class_text(config_.settings.classes[class_of(message_class)]);
+  const std::string text = rules_text(config_.settings.classes[class_of(message_class)]);
   int64_t last = 0;
   const auto& facts = journal_.remembered();
   for (auto it = facts.lower_bound(kRules); it != facts.end() && it->first.starts_with(kRules); ++it) {
@@ -268,15 +241,44 @@
   return number;
 }
 
+std::string Relay::rules_text(const ClassSettings& c) const {
+  return nlohmann::json{{"effect", static_cast<int>(c.effect)},
+                        {"scope", static_cast<int>(c.key_scope)},
+                        {"window", c.key_window},
+                        {"in_order", c.in_order},
+                        {"target", c.target},
+                        {"give_up", c.give_up},
+                        {"worth", c.worth},
+                        {"late_worth", c.late_worth},
+                        {"attempts", config_.settings.max_attempts}}
+      .dump();
+}
+
+Relay::MessageRules Relay::read_rules(const std::string& message_class, const std::string& text) {
+  const nlohmann::json json = nlohmann::json::parse(text);
+  MessageRules out;
+  out.name = message_class;
+  out.effect = static_cast<Effect>(json.at("effect").get<int>());
+  out.key_scope = static_cast<KeyScope>(json.at("scope").get<int>());
+  out.key_window = json.at("window").get<Time>();
+  out.in_order = json.at("in_order").get<bool>();
+  out.target = json.at("target").get<Time>();
+  out.give_up = json.at("give_up").get<Time>();
+  out.worth = json.at("worth").get<double>();
+  out.late_worth = json.at("late_worth").get<double>();
+  out.most_attempts = json.value("attempts", 0);  // not in older records
+  return out;
+}
+
 // Where nothing at all is known it may run once.
-ClassSettings Relay::rules_of(const std::string& name, int64_t number) const {
+Relay::MessageRules Relay::rules_of(const std::string& name, int64_t number) const {
   const auto& facts = journal_.remembered();
   const auto known = facts.find(kRules + std::to_string(number));
-  if (known != facts.end()) return read_class(name, known->second);
-  if (const int now = class_of(name); now >= 0) return config_.settings.classes[now];
+  if (known != facts.end()) return read_rules(name, known->second);
+  if (const int now = class_of(name); now >= 0) return {config_.settings.classes[now], 0};
   const auto before = facts.find(kClass + name);
-  if (before != facts.end()) return read_class(name, before->second);
-  ClassSettings out;
+  if (before != facts.end()) return read_rules(name, before->second);
+  MessageRules out;
   out.name = name;
   return out;
 }
@@ -289,7 +291,7 @@
     used.insert(held.rules == 0 ? kClass + held.handed.message_class : kRules + std::to_string(held.rules));
   }
   std::set<std::string> texts;
-  for (const ClassSettings& c : config_.settings.classes) texts.insert(class_text(c));
+  for (const ClassSettings& c : config_.settings.classes) texts.insert(rules_text(c));
   std::vector<std::string> over;
   for (const auto& [name, text] : journal_.remembered()) {
     const bool rules = name.starts_with(kRules);
@@ -306,10 +308,11 @@
   auto all = settings_told();
   std::vector<Arrival> arrivals;
   for (const auto& [in, rules] : messages) {
-    const auto place = std::find(all->classes.begin(), all->classes.end(), rules);
+    const ClassSettings& message_class = rules;
+    const auto place = std::find(all->classes.begin(), all->classes.end(), message_class);
     arrivals.push_back(in);
     arrivals.back().message_class = static_cast<int>(place - all->classes.begin());
-    if (place == all->classes.end()) all->classes.push_back(rules);
+    if (place == all->classes.end()) all->classes.push_back(message_class);
   }
   const bool more = all->classes.size() > config_.settings.classes.size() || last_over_ != 0;
   if (more) happened(SettingsChanged{all});
@@ -504,6 +507,9 @@
       in.ran_zone = zone_of(sent);
     }
     Kept kept{in, rules_of(entry.message.message_class, entry.rules)};
+    const int allowed =
+        kept.rules.most_attempts > 0 ? kept.rules.most_attempts : config_.settings.max_attempts;
+    kept.in.most_attempts = allowed + entry.attempts - entry.begun;
     if (in.ran && away == away_.end() && rests(kept.rules, in.key)) {
       if (auto end = cut_off(kept.in)) ends.push_back(std::move(*end));
       rest(in.key);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -56,9 +56,12 @@
     Time give_up = 0;
     bool gone = false;  // it is in the settings only for this
   };
+  struct MessageRules : ClassSettings {  // as they were when a message came
+    int most_attempts = 0;
+  };
   struct Kept {  // a message of the process before
     Arrival in;
-    ClassSettings rules;  // as they were when it came
+    MessageRules rules;
   };
   struct Away {  // a message whose call the process before still has out
     uint64_t number = 0;
@@ -84,7 +87,9 @@
   void follow();
   void told_by_registry(const nlohmann::json& line);
   int64_t rules_now(const std::string& message_class);
-  ClassSettings rules_of(const std::string& message_class, int64_t number) const;
+  static MessageRules read_rules(const std::string& message_class, const std::string& text);
+  std::string rules_text(const ClassSettings& message_class) const;
+  MessageRules rules_of(const std::string& message_class, int64_t number) const;
   void forget_rules();
   void arrive(const std::vector<Kept>& messages);
   std::shared_ptr<Settings> settings_told() const;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -367,7 +367,7 @@
     Message& m = messages_[e.id];
     m.in = e;
     m.rules = set_.classes[e.message_class];
-    m.most_attempts = set_.max_attempts;
+    m.most_attempts = e.most_attempts > 0 ? e.most_attempts : set_.max_attempts;
     const ClassSettings& c = m.rules;
     m.target = e.due - c.give_up + c.target;
     m.worth = c.worth * tenant_share(e.tenant);
