--- a/tests/system_faults.cpp
+++ b/tests/system_faults.cpp
@@ -122,6 +122,8 @@
 
 ssize_t sendmsg(int fd, const msghdr* message, int flags) {
   if (interrupted()) return -1;
+  if (knobs() != nullptr && knobs()->send_delay_ms > 0)
+    ::usleep(1000 * static_cast<useconds_t>(knobs()->send_delay_ms));
   iovec first{};
   const msghdr asked = shortened(fd, message, first);
   return REAL(sendmsg)(fd, &asked, flags);
--- a/tests/system_faults_test.cpp
+++ b/tests/system_faults_test.cpp
@@ -3,6 +3,7 @@
 // pages holds.
 #include <chrono>
 #include <csignal>
+#include <future>
 #include <set>
 #include <thread>
 
@@ -237,6 +238,34 @@
   }
 }
 
+// The process is held up for 0.15 s between the look at its clock and the write: no repeat comes to its host
+// behind the window.
+TEST(HeldUp, BeforeAWriteSendsNothingBehindItsWindow) {
+  for (int i = 0; i < 8; ++i) {
+    FaultyMachine s;
+    s.category(1)["key_ttl_s"] = 1.0;
+    s.config["seed"] = std::to_string(100 + i);
+    s.start();
+    ASSERT_EQ(s.put("m-1", FaultyMachine::facts("keyed", 7, 1600)), "+OK");
+    EXPECT_EQ(id_of(s.host.next()), "m-1");
+    const auto first = Clock::now();
+    s.faults->send_delay_ms = 150;
+    std::this_thread::sleep_for(milliseconds(820));
+    s.host.reset();
+    auto next = std::async(std::launch::async, [&] {
+      const std::string id = id_of(s.host.next());
+      return std::pair(id, ms_since(first));
+    });
+    std::this_thread::sleep_for(milliseconds(500));
+    ASSERT_EQ(s.put("m-2", FaultyMachine::facts("safe", 7)), "+OK");
+    const auto [id, after] = next.get();
+    if (id == "m-1") {
+      EXPECT_LE(after, 1050);
+    }
+    s.host.answer("200");
+  }
+}
+
 // Sockets may be refused for a moment: the process starts, and operators and clients are served.
 TEST(Shortage, DelaysAStartAndEndsNone) {
   for (const int code : {ENFILE, EMFILE, ENOBUFS, ENOMEM}) {
--- a/tests/window_test.cpp
+++ b/tests/window_test.cpp
@@ -67,6 +67,15 @@
   }
 }
 
+// The process may be held up for 0.15 s between the look at its clock and the write.
+TEST(Window, LeavesRoomForAProcessThatIsHeldUp) {
+  Relay relay(short_window());
+  relay.step(500'000, {ended(first_of(relay), 0, Outcome::kReset, 500'000)});
+  const auto again = all_of<Send>(relay.idle(500'000, 800'000, 10'000));
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_LE(again[0].start_by + 150'000, kSecond);
+}
+
 // A restart inside the window: it goes on from the attempt before.
 TEST(Window, GoesOnOverARestart) {
   for (const Time age : {300'000, 900'000, 960'000, 1'200'000}) {
