--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -75,10 +75,11 @@
 constexpr double kRoomHigh = 0.5;
 constexpr double kRegainBelow = 2;  // seconds in which a pace under the own part grows by e, with room
 constexpr double kRegainAbove = 8;
-constexpr double kRegainMost = 3;         // seconds that one report can stand for
-constexpr double kLimitBurst = 0.4;       // seconds of the pace that may go at once
-constexpr Time kWindowMargin = 50 * kMs;  // a call is under way for a while before its host looks at its key
-constexpr double kShedAbove = 0.9;        // part of max_open above which the least worth is given back
+constexpr double kRegainMost = 3;    // seconds that one report can stand for
+constexpr double kLimitBurst = 0.4;  // seconds of the pace that may go at once
+// Of the end of a key's window: a process may be held up for so long between reading its clock and writing.
+constexpr Time kWindowMargin = 150 * kMs;
+constexpr double kShedAbove = 0.9;  // part of max_open above which the least worth is given back
 
 // Of a tenant's quota a relay takes so many seconds at once, and what chance brings beside: so many standard
 // deviations. Of a small even part that is the most.
