--- a/tests/system_faults.cpp
+++ b/tests/system_faults.cpp
@@ -14,7 +14,10 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdarg>
+#include <cstdio>
 #include <cstdlib>
+#include <cstring>
 
 namespace {
 
@@ -23,7 +26,7 @@
 SystemFaultKnobs* knobs() {
   static SystemFaultKnobs* const mapped = [] {
     const char* name = std::getenv(firspool::testing::kFaultsVariable);
-    const int file = name == nullptr ? -1 : ::open(name, O_RDWR | O_CLOEXEC);
+    const int file = name == nullptr ? -1 : ::openat(AT_FDCWD, name, O_RDWR | O_CLOEXEC);
     void* at = file < 0
                    ? MAP_FAILED
                    : ::mmap(nullptr, sizeof(SystemFaultKnobs), PROT_READ | PROT_WRITE, MAP_SHARED, file, 0);
@@ -66,6 +69,14 @@
   return true;
 }
 
+bool open_fails(const char* path) {
+  const bool kept = std::strstr(path, "/state/") != nullptr;
+  if (!kept || knobs() == nullptr ||
+      (knobs()->opens_before_failure > 0 && knobs()->opens_before_failure-- > 0))
+    return false;
+  return fails(knobs()->open_failures, knobs()->open_errno);
+}
+
 size_t shortened(int fd, size_t size) {
   const bool shorter = knobs() != nullptr && size > 1 && chance(knobs()->short_per_mille) && is_stream(fd);
   return shorter ? std::max<size_t>(1, size / 3) : size;
@@ -161,6 +172,23 @@
   return REAL(connect)(fd, address, size);
 }
 
+int open(const char* path, int flags, ...) {
+  va_list rest;
+  va_start(rest, flags);
+  const mode_t mode = (flags & O_CREAT) != 0 ? va_arg(rest, mode_t) : 0;
+  va_end(rest);
+  if (open_fails(path)) return -1;
+  return REAL(open)(path, flags, mode);
+}
+
+FILE* fopen(const char* path, const char* mode) {
+  return open_fails(path) ? nullptr : REAL(fopen)(path, mode);
+}
+
+FILE* fopen64(const char* path, const char* mode) {
+  return open_fails(path) ? nullptr : REAL(fopen64)(path, mode);
+}
+
 ssize_t write(int fd, const void* bytes, size_t size) {
   return file_fails(fd) ? -1 : REAL(write)(fd, bytes, size);
 }
--- a/tests/system_faults_test.cpp
+++ b/tests/system_faults_test.cpp
@@ -3,10 +3,12 @@
 // pages holds.
 #include <chrono>
 #include <csignal>
+#include <fstream>
 #include <future>
 #include <set>
 #include <thread>
 
+#include "durable_clock.h"
 #include "peers.h"
 
 namespace firspool::testing {
@@ -295,6 +297,45 @@
   }
 }
 
+// Signals in series, the second one inside the time of the first: the message that is out ends, and so does
+// the process.
+TEST(Signals, InSeriesEndTheProcessOnceAndWell) {
+  for (const std::vector<int>& signals :
+       {std::vector{SIGTERM, SIGTERM}, {SIGHUP, SIGTERM, SIGHUP}, {SIGTERM, SIGHUP, SIGINT, SIGTERM}}) {
+    FaultyMachine s;
+    s.start();
+    Socket client = s.program.client();
+    ASSERT_TRUE(client.send(put_bytes("m-1", FaultyMachine::facts("unsafe", 7))));
+    ASSERT_EQ(client.line(), "+OK");
+    EXPECT_EQ(id_of(s.host.next()), "m-1");
+    for (const int signal : signals) {
+      s.program.signal(signal);
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    ASSERT_TRUE(client.send(put_bytes("m-2", FaultyMachine::facts("unsafe", 99, 500))));
+    EXPECT_EQ(client.line(), "+OK");  // the connection is still open: what comes on it is served
+    s.host.answer("200");
+    EXPECT_EQ(s.discovery.notice().at("id"), "m-2");
+    client.close();
+    EXPECT_EQ(s.program.wait(), 0);
+  }
+}
+
+// Behind another boot the monotonic clock began anew, and the wall clock is all there is to go by.
+TEST(DurableClock, GoesByTheWallClockBehindAnotherBoot) {
+  using relay::DurableClock;
+  const DurableClock before({"boot-1", 5000, 1'005'000}, "");
+  EXPECT_EQ(before.from_steady(6000), 1'006'000);
+  EXPECT_EQ(before.to_steady(1'006'000), 6000);
+  const DurableClock stepped({"boot-1", 7000, 99'000'000}, before.text());
+  EXPECT_EQ(stepped.from_steady(7000), 1'007'000);
+  const DurableClock rebooted({"boot-2", 100, 1'050'000}, stepped.text());
+  EXPECT_EQ(rebooted.from_steady(100), 1'050'000);
+  const DurableClock untold({"", 100, 2'000'100}, rebooted.text());  // the platform names no boot
+  EXPECT_EQ(untold.from_steady(100), 2'000'100);
+  EXPECT_EQ(untold.text(), "");
+}
+
 // Requests that stand in the listener's queue are answered, though accepts fail for a moment.
 TEST(Shortage, OfAcceptsLosesNoRequestAtTheEnd) {
   for (const int code : {ENFILE, EMFILE, ENOBUFS, EPROTO, ECONNABORTED, EINTR, ENETDOWN}) {
@@ -342,6 +383,48 @@
   }
 }
 
+// A start on a disk that refuses writes, behind a kill in the middle of one: what is there is kept, and tried
+// once it can be.
+TEST(DiskAtAStart, EndsNoStartAndLosesNothing) {
+  for (const int code : {ENOSPC, EIO}) {
+    FaultyMachine s;
+    s.start();
+    ASSERT_EQ(s.put("m-1", FaultyMachine::facts("unsafe", 99)), "+OK");
+    s.program.kill();
+    std::ofstream(s.program.state() / "journal", std::ios::app) << "half a record";
+    s.faults->file_errno = code;
+    s.start();
+    EXPECT_EQ(s.put("m-2", FaultyMachine::facts("unsafe", 99)), "-BUSY 500");
+    s.faults->file_errno = 0;
+    EXPECT_EQ(s.put("m-3", FaultyMachine::facts("unsafe", 99)), "+OK");
+    s.restart_killed();
+    s.release();
+    std::set<std::string> called;
+    for (int i = 0; i < 2; ++i) {
+      called.insert(id_of(s.host.next()));
+      s.host.answer("200", "Connection: close\r\n");
+    }
+    EXPECT_EQ(called, (std::set<std::string>{"m-1", "m-3"}));
+  }
+}
+
+// Files that cannot be opened for a moment are not taken for files that are empty.
+TEST(DiskAtAStart, WaitsForFilesThatCannotBeOpened) {
+  for (int place = 0; place < 5; ++place) {
+    FaultyMachine s;
+    s.start();
+    ASSERT_EQ(s.put("m-1", FaultyMachine::facts("unsafe", 99)), "+OK");
+    s.program.kill();
+    s.faults->open_errno = ENFILE;
+    s.faults->opens_before_failure = place;
+    s.faults->open_failures = 1;
+    s.start();
+    s.release();
+    EXPECT_EQ(id_of(s.host.next()), "m-1") << place;
+    s.host.answer("200");
+  }
+}
+
 // With the disk gone for good each message still has its end in time, and none that a client may take as a
 // promise.
 TEST(FullDiskAtAnEnd, StillTellsItInTime) {
