--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -240,7 +240,7 @@
   enum class State { kReading, kServing, kWriting, kLingering, kClosed };
 
   void readable(const boost::system::error_code& error) {
-    if (owner_ == nullptr || state_ != State::kReading) return;
+    if (owner_ == nullptr || state_ != State::kReading || !owner_->reading_) return;
     if (error && error != boost::asio::error::operation_aborted) return close();
     if (error && quiet()) return linger();
     boost::system::error_code failed;
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -39,6 +39,9 @@
     return finishing_ && sessions_.empty() && !acceptor_.is_open();
   }  // and the clients have ended theirs, or had time
 
+  // For the process's very end: reads nothing more. What was read is still answered, see answered().
+  void read_no_more() { reading_ = false; }
+
   // Says no to PING, and a little later closes connections between requests, while it still listens.
   void drain();
   void activate() { draining_since_ = 0; }
@@ -49,7 +52,7 @@
   // Takes no new connection and gives those that are open away, each once it has been answered.
   void hand_over(Give give);
   int listener() { return acceptor_.is_open() ? acceptor_.native_handle() : -1; }
-  bool answered() const;                                 // none waits for an answer
+  bool answered() const;                                 // none waits for an answer to what was read
   void adopt(const std::string& state, int descriptor);  // one that was given away
 
  private:
@@ -74,6 +77,7 @@
   Put put_;
   bool accepting_ = false;
   bool finishing_ = false;
+  bool reading_ = true;
   Time draining_since_ = 0;            // 0: not draining
   Give give_;                          // set: whatever can goes to another process
   std::array<char, 64 * 1024> bytes_;  // what was read last, of any connection
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -29,9 +29,11 @@
 const std::string kBusy = kRefused + " 500";  // no room: some messages end within that time
 
 constexpr Time kMs = 1000;
-constexpr Time kServeOn = 500 * kMs;    // after SIGTERM: new connections still come for a while
-constexpr Time kLastCall = 3500 * kMs;  // SIGKILL follows 3.7 s after SIGTERM at the soonest
+constexpr Time kServeOn = 500 * kMs;      // after SIGTERM: new connections still come for a while
+constexpr Time kLastCall = 3500 * kMs;    // SIGKILL follows 3.7 s after SIGTERM at the soonest
+constexpr Time kLastMoment = 3600 * kMs;  // by then it has ended
 constexpr Time kStopPoll = 50 * kMs;
+constexpr Time kLastPoll = 2 * kMs;
 constexpr Time kFirstWord = 300 * kMs;   // discovery answers at once, unless it is down
 constexpr Time kClockSlack = 100 * kMs;  // clients round what they measure
 constexpr Time kRetire = 5000 * kMs;     // longer than any wait after which a refused client comes again
@@ -1158,8 +1160,14 @@
   }
   const bool idle = !handed_over_ && held_.empty() && unrecorded_ends_.empty() && notices_.empty() &&
                     (!clients_ || clients_->ended());
-  if (age >= kLastCall || (closed_ && idle)) return io_.stop();
-  stop_timer_.expires_after(std::chrono::microseconds(kStopPoll));
+  if (closed_ && idle) return io_.stop();
+  const bool last = age >= kLastCall;
+  if (last) {  // a request that was read has its answer
+    if (clients_) clients_->read_no_more();
+    const bool answered = !step_posted_ && (!clients_ || clients_->answered());
+    if (answered || age >= kLastMoment) return io_.stop();
+  }
+  stop_timer_.expires_after(std::chrono::microseconds(last ? kLastPoll : kStopPoll));
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) wait_for_end();
   });
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -104,6 +104,25 @@
   EXPECT_EQ(puts_, 3);
 }
 
+// At the very end nothing more is read, and each command that was has its answer.
+TEST_F(Shutdown, WhatWasReadByTheLastMomentIsAnswered) {
+  constexpr int kCommands = 20;
+  Socket busy = client();
+  std::string commands;
+  for (int i = 0; i < kCommands; ++i) commands += kPut;
+  ASSERT_TRUE(busy.send(commands));
+  run_until([&] { return puts_ > 0; });
+  ASSERT_LT(puts_, kCommands);
+  clients_.read_no_more();
+  EXPECT_FALSE(clients_.answered());
+  ASSERT_TRUE(busy.send(kPut));
+  run_until([&] { return clients_.answered(); });
+  io_.restart();
+  io_.run_for(std::chrono::milliseconds(150));
+  EXPECT_EQ(puts_, kCommands);
+  for (int i = 0; i < kCommands; ++i) EXPECT_EQ(busy.line(), "+OK");
+}
+
 // The client's request is on its way while the relay ends the connection: it must see an end, not a reset,
 // which could take an answer with it; and the request is not taken on, as the client sends it once more.
 TEST_F(Shutdown, ARequestThatCrossesTheEndIsNeitherTakenOnNorReset) {
--- a/tests/system_faults_test.cpp
+++ b/tests/system_faults_test.cpp
@@ -1,6 +1,7 @@
 // What the operating system may do to a relay: its wall clock is stepped, calls are interrupted, shortened or
 // fail for a moment, the disk refuses writes. A relay runs as a process of its own, and every rule of the
 // pages holds.
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -9,6 +10,7 @@
 #include <thread>
 
 #include "durable_clock.h"
+#include "journal.h"
 #include "peers.h"
 
 namespace firspool::testing {
@@ -321,6 +323,43 @@
   }
 }
 
+// Clients send on every connection that stays open, up to the end of the process: what it has taken on it has
+// also answered.
+TEST(Signals, AnEndAnswersAllThatWasRead) {
+  FaultyMachine s;
+  s.config["settings"]["bounds"]["open_cap"] = 100'000;
+  s.start();
+  std::atomic<int> sent = 0;
+  std::set<std::string> taken_on;
+  Socket client = s.program.client();
+  std::thread sender([&] {
+    std::string batch;
+    for (bool open = true; open; ++sent) {
+      batch.clear();
+      for (int n = 0; n < 20; ++n) {
+        batch += put_bytes("m-" + std::to_string(sent) + "-" + std::to_string(n),
+                           FaultyMachine::facts("safe", 99, 4000));
+      }
+      open = client.send(batch);
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+  });
+  std::this_thread::sleep_for(milliseconds(100));
+  s.program.signal(SIGTERM);
+  int order = 0;
+  for (std::string line = client.line(); !line.empty(); line = client.line(), ++order) {
+    if (line == "+OK") taken_on.insert("m-" + std::to_string(order / 20) + "-" + std::to_string(order % 20));
+  }
+  EXPECT_EQ(s.program.wait(), 0);
+  client.close();
+  sender.join();
+  const relay::Journal journal(s.program.state(), 3'000'000);
+  int unheard = 0;
+  for (const auto& entry : journal.recovered()) unheard += !taken_on.contains(entry.message.id);
+  EXPECT_EQ(unheard, 0) << "of " << journal.recovered().size();
+  EXPECT_GT(order, 1000);
+}
+
 // Behind another boot the monotonic clock began anew, and the wall clock is all there is to go by.
 TEST(DurableClock, GoesByTheWallClockBehindAnotherBoot) {
   using relay::DurableClock;
