--- a/tests/system_faults.cpp
+++ b/tests/system_faults.cpp
@@ -3,6 +3,7 @@
 
 #include <dlfcn.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
@@ -77,6 +78,17 @@
   return fails(knobs()->open_failures, knobs()->open_errno);
 }
 
+bool is_broken(int fd) {
+  sockaddr_in peer{};
+  socklen_t size = sizeof peer;
+  if (knobs() == nullptr || knobs()->broken_port == 0) return false;
+  if (::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0 ||
+      peer.sin_port != htons(static_cast<uint16_t>(knobs()->broken_port)))
+    return false;
+  errno = knobs()->broken_errno;
+  return true;
+}
+
 size_t shortened(int fd, size_t size) {
   const bool shorter = knobs() != nullptr && size > 1 && chance(knobs()->short_per_mille) && is_stream(fd);
   return shorter ? std::max<size_t>(1, size / 3) : size;
@@ -114,11 +126,11 @@
 }
 
 ssize_t recv(int fd, void* bytes, size_t size, int flags) {
-  return interrupted() ? -1 : REAL(recv)(fd, bytes, shortened(fd, size), flags);
+  return interrupted() || is_broken(fd) ? -1 : REAL(recv)(fd, bytes, shortened(fd, size), flags);
 }
 
 ssize_t recvmsg(int fd, msghdr* message, int flags) {
-  if (interrupted()) return -1;
+  if (interrupted() || is_broken(fd)) return -1;
   iovec first{};
   msghdr asked = shortened(fd, message, first);
   const ssize_t result = REAL(recvmsg)(fd, &asked, flags);
--- a/tests/system_faults.h
+++ b/tests/system_faults.h
@@ -18,7 +18,8 @@
   std::atomic<int> accept_failures, accept_errno;
   std::atomic<int> socket_failures, socket_errno;
   std::atomic<int> connect_failures, connect_errno;
-  std::atomic<int> send_delay_ms;  // the process stands still for so long ahead of each send
+  std::atomic<int> broken_port, broken_errno;  // reads from peers at this port fail so; 0: none
+  std::atomic<int> send_delay_ms;              // the process stands still for so long ahead of each send
   std::atomic<int> opens_before_failure, open_failures, open_errno;  // of files in the state folder
   std::atomic<int> file_errno;  // writes to files, truncations and syncs fail so; 0: they do not
 };
--- a/tests/system_faults_test.cpp
+++ b/tests/system_faults_test.cpp
@@ -270,6 +270,26 @@
   }
 }
 
+// A connection that is broken behind a call's last byte may have run it, however that shows; none is used
+// again.
+TEST(BrokenConnection, MayHaveRunItsCallHoweverThatShows) {
+  for (const int code : {ETIMEDOUT, EHOSTUNREACH, ENETUNREACH, ECONNRESET, EPIPE}) {
+    FaultyMachine s;
+    s.start();
+    ASSERT_EQ(s.put("m-unsafe", FaultyMachine::facts("unsafe", 7)), "+OK");
+    EXPECT_EQ(id_of(s.host.next()), "m-unsafe");
+    s.faults->broken_errno = code;
+    s.faults->broken_port = s.host.port();
+    s.host.raw("HTTP/1.1 5");
+    EXPECT_EQ(s.discovery.notice(), nlohmann::json({{"id", "m-unsafe"}, {"state", "failed"}}));
+    s.faults->broken_port = 0;
+    ASSERT_EQ(s.put("m-next", FaultyMachine::facts("unsafe", 7)), "+OK");
+    EXPECT_EQ(id_of(s.host.next()), "m-next");
+    s.host.answer("200");
+    EXPECT_EQ(s.host.connections(), 2);
+  }
+}
+
 // Sockets may be refused for a moment: the process starts, and operators and clients are served.
 TEST(Shortage, DelaysAStartAndEndsNone) {
   for (const int code : {ENFILE, EMFILE, ENOBUFS, ENOMEM}) {
