--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -258,6 +258,40 @@
   s.host.answer("200");
 }
 
+// The same at SIGHUP: the message has run in a zone, and that has another place now.
+TEST(Recovery, KnowsAZoneByItsNameThroughNewSettings) {
+  Restarted s;
+  Host other;
+  const auto in_zone = [](nlohmann::json member, const std::string& zone) {
+    member["locality"] = zone;
+    return member;
+  };
+  const auto first = [&](const std::string& phase) {
+    return in_zone(member_json("s-1", s.host.address(), 7, phase), "b");
+  };
+  s.config["settings"]["azs"] = {"a", "b"};
+  s.config["known"] = list_json(1, true, {first("active")});
+  s.categories()[1]["key_scope"] = "zone";
+  s.program.configure(s.config.dump());
+  s.program.log_at("debug");
+  s.program.start();
+  EXPECT_EQ(s.put("m-keyed", facts("keyed")), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "m-keyed");
+  s.discovery.tell(list_json(2, false, {first("leaving")}));
+  ASSERT_TRUE(s.program.logged("list"));
+  s.host.answer("500");
+  ASSERT_TRUE(s.program.logged("call_ended"));
+  s.config["settings"]["azs"] = {"b", "a"};
+  s.program.configure(s.config.dump());
+  s.program.signal(SIGHUP);
+  ASSERT_TRUE(s.program.logged("reloaded"));
+  s.discovery.tell(list_json(3, false,
+                             {in_zone(member_json("s-2", other.address(), 7), "a"),
+                              in_zone(member_json("s-3", s.host.address(), 7), "b")}));
+  EXPECT_EQ(id_of(s.host.next()), "m-keyed");
+  s.host.answer("200");
+}
+
 // It held as much as it may. All of it is tried, and none of it given back for want of room.
 // Not either under a lower cap: that one is for what comes, from a restart on as from a SIGHUP.
 TEST(Recovery, TriesAllThatItHeldWhenItWasFull) {
