--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -223,6 +223,7 @@
 // kinds and zones are told anew where they changed.
 struct SettingsChanged {
   std::shared_ptr<const Settings> settings;
+  std::vector<int> zones;  // where each zone of before stands now, -1: nowhere; empty: all as before
 };
 
 using Event = std::variant<MembersChanged, Arrival, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, PeerNote,
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -86,6 +86,16 @@
 
 bool in_turn(const ClassSettings& rules, uint64_t about) { return rules.in_order && about != 0; }
 
+// -1: it is not among them.
+int place_of(const std::string& name, const std::vector<std::string>& names) {
+  const auto it = std::find(names.begin(), names.end(), name);
+  return it == names.end() ? -1 : static_cast<int>(it - names.begin());
+}
+
+int zone_now(const std::vector<int>& zones, int before) {
+  return before >= 0 && before < static_cast<int>(zones.size()) ? zones[static_cast<size_t>(before)] : -1;
+}
+
 bool never_ran(Outcome outcome) {
   return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed || outcome == Outcome::kMoot;
 }
@@ -317,9 +327,9 @@
     if (place == all->classes.end()) all->classes.push_back(message_class);
   }
   const bool more = all->classes.size() > config_.settings.classes.size() || last_over_ != 0;
-  if (more) happened(SettingsChanged{all});
+  if (more) happened(SettingsChanged{all, {}});
   for (const Arrival& in : arrivals) happened(in);
-  if (more) happened(SettingsChanged{settings_told()});
+  if (more) happened(SettingsChanged{settings_told(), {}});
 }
 
 // A lower cap is for what comes: what was taken on under a greater one is still tried, and the module gives
@@ -562,9 +572,7 @@
 // Settings may list zones in another order than before. One that they do not name takes no repeat.
 int Relay::zone_of(const Sent& sent) const {
   if (sent.zone_name.empty()) return sent.zone;  // of a version before
-  const auto& zones = config_.names.zones;
-  const auto it = std::find(zones.begin(), zones.end(), sent.zone_name);
-  return it == zones.end() ? -1 : static_cast<int>(it - zones.begin());
+  return place_of(sent.zone_name, config_.names.zones);
 }
 
 // What the process before has out. The rest of what it gives is heard while clients are served.
@@ -830,16 +838,21 @@
 
 void Relay::apply(const Config& next) {
   const bool renamed = !(next.names == config_.names);
+  std::vector<int> zones;
+  for (const std::string& zone : config_.names.zones) zones.push_back(place_of(zone, next.names.zones));
   config_.discovery = next.discovery;
   config_.settings = next.settings;
   config_.settings = within_descriptors(config_);
   config_.names = next.names;
   config_.report_fields = next.report_fields;
   config_.text = next.text;
+  for (auto& [id, away] : away_) {
+    if (away.untold) away.untold->in.ran_zone = zone_now(zones, away.untold->in.ran_zone);
+  }
   rules_.clear();
   forget_rules();
   if (held_.size() > static_cast<size_t>(config_.settings.max_open)) last_over_ = last_number_;
-  happened(SettingsChanged{settings_told()});
+  happened(SettingsChanged{settings_told(), std::move(zones)});
   if (clients_) clients_->limit(most_clients(config_));
   upstream_.set(upstream_limits(config_), config_.report_fields);
   if (renamed) {
@@ -1086,7 +1099,7 @@
                                   [this](const auto& entry) { return entry.first <= last_over_; });
   if (2 * over > config_.settings.max_open) return;
   last_over_ = 0;
-  happened(SettingsChanged{settings_told()});
+  happened(SettingsChanged{settings_told(), {}});
 }
 
 // Its client may hand a message in again once it is told of the end: the next process must not call it then.
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -285,8 +285,14 @@
     for (const ClassSettings& c : set_.classes) longest_ = std::max(longest_, c.give_up);
   }
 
+  static int zone_now(const std::vector<int>& zones, int before) {
+    if (zones.empty()) return before;
+    return before >= 0 && before < static_cast<int>(zones.size()) ? zones[static_cast<size_t>(before)] : -1;
+  }
+
   void fold(const SettingsChanged& e) {
     take(*e.settings);
+    for (auto& [id, message] : messages_) message.in.ran_zone = zone_now(e.zones, message.in.ran_zone);
     for (const auto& [endpoint, host] : hosts_) admit(Member(host.member));
   }
 
