--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -376,6 +376,37 @@
 }
 
 // Its repeat stays with the zone where it may have run.
+// Its key waits for the call, and the message comes ahead of those that were taken on after it.
+TEST(Handover, KeepsTheOrderOfAKeyWhoseCallsHostIsGone) {
+  Side s;
+  s.config["settings"]["categories"][2]["in_order"] = true;
+  Program next(s.config);
+  {
+    Journal journal(next.state(), kDisk);
+    const auto due = relay::wall_now() + 60'000'000;
+    for (const std::string id : {"m-1", "m-2"}) {
+      ASSERT_TRUE(journal.accepted({id, "unsafe", "", 7, 0, "body", "", 10}, due));
+    }
+    ASSERT_TRUE(journal.attempt("m-1", 0, relay::wall_now(), 0, "a"));
+  }
+  Before before(next.state());
+  auto started = begin(next);
+  before.await_asked();
+  ASSERT_TRUE(before.handover.give_folder());
+  before.give_call("m-1", 0, "s-gone");
+  before.give_listener();
+  started.get();
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  const nlohmann::json ended = {{"id", "m-1"},  {"outcome", 2}, {"final", false},
+                                {"took", 1},    {"wait", 0},    {"report", nlohmann::json::array()},
+                                {"began", true}};
+  EXPECT_TRUE(before.handover.give(Parcel::kEnded, ended.dump()));
+  for (const std::string id : {"m-1", "m-2"}) {
+    EXPECT_EQ(id_of(s.host.next()), id);
+    s.host.answer("200");
+  }
+}
+
 TEST(Handover, KnowsTheZoneOfACallWhoseHostIsGone) {
   Side s;
   Host other;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -167,6 +167,23 @@
 }
 
 // A call that was out when the process died may have run.
+// A delivery counts only once its client has heard that the message is taken on: the answer is there before
+// the call.
+TEST(Program, AnswersAheadOfTheCall) {
+  Stage s;
+  s.program.start();
+  Socket client = s.program.client();
+  for (int i = 0; i < 50; ++i) {
+    const std::string id = "m-" + std::to_string(i);
+    client.send(put_bytes(id, kFacts));
+    EXPECT_EQ(id_of(s.host.next()), id);
+    char byte = 0;
+    EXPECT_EQ(::recv(client.fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT), 1) << id;
+    EXPECT_EQ(client.line(), "+OK");
+    s.host.answer("200");
+  }
+}
+
 TEST(Program, ResendsSafeAndKeyedMessagesThatWereOutAtAKill) {
   for (const std::string effect : {"safe", "keyed"}) {
     Stage s;
