--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -135,7 +135,8 @@
   uint64_t id = 0;
   int message_class = 0;
   int tenant = 0;
-  uint64_t key = 0;  // for classes in order: what the message is about; 0: nothing
+  uint64_t key = 0;           // for classes in order: what the message is about; 0: nothing
+  bool ahead_of_key = false;  // it was taken on before all others of its key that are held
   Time due = 0;
   int destination = 0;
   // Of a message that is resumed after a restart: what became of it before. Attempts are counted on.
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -645,6 +645,7 @@
   if (!away.untold || end.final) return;
   Kept kept = *away.untold;
   Arrival& in = kept.in;
+  in.ahead_of_key = true;
   if (began && !never_ran(end.outcome) && !in.ran) {
     in.ran = true;
     in.ran_sent = away.call.sent;
@@ -869,12 +870,17 @@
   return {member.destination, apart ? member.endpoint : Endpoint{}};
 }
 
-// A message that ended by a notice is over for others only once that is taken: until then none that came
-// later under its key goes out.
+// A message that ended by a notice is over for others only once that is taken, and one whose call is out in
+// the process before once the module is told of it: until then none that came later under its key goes out.
 bool Relay::has_turn(const Held& held) const {
   const uint64_t about = held.handed.about;
+  if (about == 0) return true;
   const bool waits =
-      std::any_of(untold_.begin(), untold_.end(), [&](const auto& end) { return end.second == about; });
+      std::any_of(untold_.begin(), untold_.end(), [&](const auto& end) { return end.second == about; }) ||
+      std::any_of(away_.begin(), away_.end(), [&](const auto& entry) {
+        const auto& untold = entry.second.untold;
+        return untold && untold->in.key == about && untold->rules.in_order;
+      });
   return !waits || !in_turn(rules_of(held.handed.message_class, held.rules), about);
 }
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -380,7 +380,10 @@
     m.worth = c.worth * tenant_share(e.tenant);
     m.repeat = e.attempts > 0;
     m.resumed_ran = e.ran;
-    if (c.in_order && e.key != 0) turns_[e.key].push_back(e.id);
+    if (c.in_order && e.key != 0) {
+      auto& turn = turns_[e.key];
+      turn.insert(e.ahead_of_key ? turn.begin() : turn.end(), e.id);
+    }
     if (e.out) resume_out(m);
   }
 
