--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -73,6 +73,12 @@
         {"host", host}, {"since", relay::steady_now()}, {"messages", {{id, attempt}}}};
     EXPECT_TRUE(handover.give(Parcel::kCall, call.dump()));
   }
+  void give_end(const std::string& id, Outcome outcome) {
+    const nlohmann::json ended = {
+        {"id", id},  {"outcome", static_cast<int>(outcome)}, {"final", false}, {"took", 1},
+        {"wait", 0}, {"report", nlohmann::json::array()},    {"began", true}};
+    EXPECT_TRUE(handover.give(Parcel::kEnded, ended.dump()));
+  }
   void give_listener() { EXPECT_TRUE(handover.give(Parcel::kListener, "", listener.fd())); }
   // One that was connected to it; its other end.
   Socket give_client() {
@@ -397,10 +403,7 @@
   before.give_listener();
   started.get();
   std::this_thread::sleep_for(std::chrono::milliseconds(600));
-  const nlohmann::json ended = {{"id", "m-1"},  {"outcome", 2}, {"final", false},
-                                {"took", 1},    {"wait", 0},    {"report", nlohmann::json::array()},
-                                {"began", true}};
-  EXPECT_TRUE(before.handover.give(Parcel::kEnded, ended.dump()));
+  before.give_end("m-1", Outcome::kFull);
   for (const std::string id : {"m-1", "m-2"}) {
     EXPECT_EQ(id_of(s.host.next()), id);
     s.host.answer("200");
@@ -429,10 +432,7 @@
   before.give_call("m-1", 0, "s-gone");
   before.give_listener();
   started.get();
-  const nlohmann::json ended = {{"id", "m-1"},  {"outcome", 1}, {"final", false},
-                                {"took", 1},    {"wait", 0},    {"report", nlohmann::json::array()},
-                                {"began", true}};
-  EXPECT_TRUE(before.handover.give(Parcel::kEnded, ended.dump()));
+  before.give_end("m-1", Outcome::kError);
   EXPECT_EQ(id_of(other.next()), "m-1");
   other.answer("200");
 }
