--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);
+constexpr int kMostLost = 64;  // connections that are gone before they are accepted, in one turn
 constexpr auto kSweep = std::chrono::milliseconds(100);
 constexpr Time kSecond = 1'000'000;
 // A client that cannot be served is owed an error or a close within 3 s of connecting.
@@ -481,10 +482,10 @@
 // once none waits. Until then descriptors may run short, or all places may be taken.
 void Clients::accept_rest() {
   boost::system::error_code error;
-  while (!error && sessions_.size() < most_) {
+  for (int lost = 0; !error && sessions_.size() < most_;) {
     tcp::socket socket(io_);
     acceptor_.accept(socket, error);
-    if (net::is_lost_connection(error)) {
+    if (net::is_lost_connection(error) && ++lost < kMostLost) {
       error.clear();
     } else if (!error) {
       add(std::move(socket))->proceed();
