--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -73,10 +73,10 @@
         {"host", host}, {"since", relay::steady_now()}, {"messages", {{id, attempt}}}};
     EXPECT_TRUE(handover.give(Parcel::kCall, call.dump()));
   }
-  void give_end(const std::string& id, Outcome outcome) {
+  void give_end(const std::string& id, Outcome outcome, Time wait = 0) {
     const nlohmann::json ended = {
-        {"id", id},  {"outcome", static_cast<int>(outcome)}, {"final", false}, {"took", 1},
-        {"wait", 0}, {"report", nlohmann::json::array()},    {"began", true}};
+        {"id", id},     {"outcome", static_cast<int>(outcome)}, {"final", false}, {"took", 1},
+        {"wait", wait}, {"report", nlohmann::json::array()},    {"began", true}};
     EXPECT_TRUE(handover.give(Parcel::kEnded, ended.dump()));
   }
   void give_listener() { EXPECT_TRUE(handover.give(Parcel::kListener, "", listener.fd())); }
@@ -382,6 +382,30 @@
 }
 
 // Its repeat stays with the zone where it may have run.
+// The wait is the destination's, whichever host told it.
+TEST(Handover, HeedsTheWaitOfACallWhoseHostIsGone) {
+  Side s;
+  Program next(s.config);
+  {
+    Journal journal(next.state(), kDisk);
+    const auto due = relay::wall_now() + 60'000'000;
+    ASSERT_TRUE(journal.accepted({"m-1", "unsafe", "", 7, 0, "body", ""}, due));
+    ASSERT_TRUE(journal.attempt("m-1", 0, relay::wall_now(), 0, "a"));
+  }
+  Before before(next.state());
+  auto started = begin(next);
+  before.await_asked();
+  ASSERT_TRUE(before.handover.give_folder());
+  before.give_call("m-1", 0, "s-gone");
+  before.give_listener();
+  started.get();
+  const auto told = std::chrono::steady_clock::now();
+  before.give_end("m-1", Outcome::kFull, 1'500'000);
+  EXPECT_EQ(id_of(s.host.next()), "m-1");
+  EXPECT_GE(std::chrono::steady_clock::now() - told, std::chrono::milliseconds(1500));
+  s.host.answer("200");
+}
+
 // Its key waits for the call, and the message comes ahead of those that were taken on after it.
 TEST(Handover, KeepsTheOrderOfAKeyWhoseCallsHostIsGone) {
   Side s;
