--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -910,8 +910,12 @@
     return;
   }
   const ListedHost* host = directory_.find(end.endpoint);
-  if (end.wait > 0 && host != nullptr) {
-    Time& until = waits_[lane_of(host->member)];
+  if (end.wait > 0 && (host != nullptr || held != held_.end())) {
+    // A host that is listed no more told it for its destination; where routes are apart, for a route that is
+    // gone.
+    const auto lane =
+        host != nullptr ? lane_of(host->member) : std::pair(held->second.handed.destination, Endpoint{});
+    Time& until = waits_[lane];
     until = std::max(until, steady_now() + end.wait);
   }
   if (held != held_.end()) {
