--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -354,8 +354,9 @@
   for (int i = 0; i < 3; ++i) ASSERT_TRUE(s.program.logged("call_ended"));
   s.discovery.tell(list_json(2, true, {member_json("s-1", s.host.address(), 9)}));
   EXPECT_EQ(id_of(s.host.next()), "m-1");
-  s.host.answer("503");
+  s.host.answer("429", "Retry-After: 20\r\n");  // nothing is tried until the restart, which ends the wait
   ASSERT_TRUE(s.program.logged("call_ended"));
+  EXPECT_NE(s.put("m-2", facts("safe")), "");  // a turn later the outcome is on the disk
   s.restart();
   EXPECT_EQ(id_of(s.host.next()), "m-1");
   s.host.answer("503");
