Tests: a client of the process before is accepted where nobody else accepts

What was seen: Handover.WaitsForAProcessThatIsHeldUp ended once in 15 runs with "assign: Bad file descriptor", Handover.ServesAClientThatComesWhenItsDoorIsShut once in 76 with later.open() false.

Cause: the test, as the process before, accepted its client on the listener that it had just handed over. The descriptor's open file description is shared, the new process has made it non-blocking and accepts there too: where that one is quicker the test's accept gives -1.

Change: the client's connection is made at a listener that only the test has. As strict as before: what is handed over is still a connection that the process before has accepted, the checks are the same, and a failed accept is a failure of its own now.

--- a/tests/relay/handover_test.cpp
+++ b/tests/relay/handover_test.cpp
@@ -377,16 +377,13 @@
     EXPECT_EQ(client.line(), "+OK");
     EXPECT_EQ(id_of(s.host.next()), "m-1");  // while it is out the process goes on
   }
-  Socket waiting = Socket::connect(before.listener.port());
-  const Socket later = before.listener.accept();  // as the process before has it still
+  auto [waiting, later] = before.accept_client();  // as the process before has it still
   ASSERT_TRUE(later.open());
   next.signal(SIGTERM);
   Socket kept = next.client();
   EXPECT_TRUE(kept.ended());  // from then on it takes nobody
-  const nlohmann::json state = {
-      {"since", relay::steady_now()}, {"came", relay::steady_now()}, {"began", 0}, {"spoke", true}};
   waiting.send(put_bytes("m-2", facts("safe", 99)));
-  EXPECT_TRUE(before.handover.send_frame(HandoverFrame::kClient, state.dump() + "\n", later.fd()));
+  EXPECT_TRUE(before.give_client(later));
   EXPECT_EQ(waiting.line(), "+OK");
   s.host.answer("200");
   EXPECT_EQ(next.wait(), 0);
--- a/tests/support/handover_peers.h
+++ b/tests/support/handover_peers.h
@@ -79,15 +79,28 @@
     EXPECT_TRUE(handover.send_frame(HandoverFrame::kEnded, ended.dump()));
   }
   void give_listener() { EXPECT_TRUE(handover.send_frame(HandoverFrame::kListener, "", listener.fd())); }
-  // One that was connected to it; its other end.
-  Socket give_client() {
-    Socket out = Socket::connect(listener.port());
-    const Socket here = listener.accept();
+  // A client's connection that this process has accepted: the client's end, and its own. It does not come by
+  // the listener that is handed over: there the process after accepts too.
+  std::pair<Socket, Socket> accept_client() const {
+    Socket client = Socket::connect(own_listener_.port());
+    Socket accepted = own_listener_.accept();
+    EXPECT_TRUE(accepted.open());
+    return {std::move(client), std::move(accepted)};
+  }
+  bool give_client(const Socket& accepted) {
     const nlohmann::json state = {
         {"since", relay::steady_now()}, {"came", relay::steady_now()}, {"began", 0}, {"spoke", true}};
-    EXPECT_TRUE(handover.send_frame(HandoverFrame::kClient, state.dump() + "\n", here.fd()));
-    return out;
+    return handover.send_frame(HandoverFrame::kClient, state.dump() + "\n", accepted.fd());
   }
+  // One that was connected to it; its other end.
+  Socket give_client() {
+    auto [client, accepted] = accept_client();
+    EXPECT_TRUE(give_client(accepted));
+    return std::move(client);
+  }
+
+ private:
+  Socket own_listener_ = Socket::listen();
 };
 
 // Starts while the test plays the process before it.
