Relay: a hand-over's frame without its descriptor costs at most its own connection

What callers saw: at an upgrade the new process ended with "turntally-relay: assign: Bad file descriptor", and with it all messages and connections that it had just taken over.

Cause: a process at its limit of descriptors gets such a frame with the descriptor dropped and MSG_CTRUNC set. Handover::receive did not look, Clients::add_inherited gave the -1 to a socket's constructor, which throws, and the event loop ended. No room was kept either: new clients came from the shared listener in the meantime.

Change: a frame is read only while the process holds a reserve descriptor and has a place for a client; until then it waits in its socket, nobody new is accepted, and idle clients are asked to leave. Frames that are there are read before the event loop turns to anything else. What is cut short, unreadable or out of place is a HandoverFrameInvalid: logged, counted, skipped. A listener's frame without one is made good by listening anew. A connection's state is parsed with the other frames (ClientFrame). Numbers in frames are checked for their range.

--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <cctype>
-#include <nlohmann/json.hpp>
 #include <stdexcept>
 
 #include "relay/put_command.h"
@@ -32,12 +31,6 @@
 constexpr Time kMinLingerAfterError = kSecond;
 constexpr Time kMinLinger = kSecond / 20;  // after an end between requests: for what its client had sent
 
-// Keys of a connection's state in a hand-over: the next version reads them, they never change.
-constexpr const char* kSinceKey = "since";
-constexpr const char* kReceivedAtKey = "came";
-constexpr const char* kCommandSinceKey = "began";
-constexpr const char* kHasSpokenKey = "spoke";
-
 std::string upper(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::toupper(c); });
   return text;
@@ -70,25 +63,22 @@
 }
 
 void Clients::Session::hand_over() {
-  const nlohmann::json state = {{kSinceKey, since_},
-                                {kReceivedAtKey, received_at_},
-                                {kCommandSinceKey, command_since_},
-                                {kHasSpokenKey, has_spoken_}};
-  owner_->hand_over_(state.dump() + "\n" + std::string(parser_.unread()), stream_.socket().native_handle());
+  const ClientFrame state = {since_, received_at_, command_since_, has_spoken_,
+                             std::string(parser_.unread())};
+  owner_->hand_over_(state, stream_.socket().native_handle());
   boost::system::error_code ignored;
   stream_.socket().close(ignored);
   state_ = State::kClosed;
   std::exchange(owner_, nullptr)->forget(place);
 }
 
-void Clients::Session::restore(const std::string& text) {
-  const size_t end = text.find('\n');
-  const auto state = nlohmann::json::parse(text.substr(0, end));
-  since_ = state.at(kSinceKey).get<Time>();
-  received_at_ = state.at(kReceivedAtKey).get<Time>();
-  command_since_ = state.at(kCommandSinceKey).get<Time>();
-  has_spoken_ = state.at(kHasSpokenKey).get<bool>();
-  parser_.feed(std::string_view(text).substr(end + 1));
+void Clients::Session::restore(const ClientFrame& state) {
+  const Time now = steady_now();
+  since_ = std::min(state.since, now);
+  received_at_ = std::min(state.received_at, now);
+  command_since_ = std::min(state.command_since, now);
+  has_spoken_ = state.has_spoken;
+  parser_.feed(state.unread);
   proceed();
 }
 
--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -27,7 +27,7 @@
   // Without a shutdown, which would end it for the other process as well.
   void hand_over();
   // As it was in the process before. The clock is the machine's, so the times hold.
-  void restore(const std::string& text);
+  void restore(const ClientFrame& state);
   bool reading() const { return state_ == State::kReading; }
   bool lingering() const { return state_ == State::kLingering; }
   // Ended between requests: it takes little time.
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -6,6 +6,7 @@
 
 #include "net/stream.h"
 #include "relay/client_session.h"
+#include "relay/errors.h"
 
 namespace turntally::relay {
 namespace {
@@ -45,13 +46,14 @@
 }
 
 void Clients::accept() {
-  if (finishing_ || accepting_ || !make_room()) return;
+  if (finishing_ || accepting_ || awaits_inherited_ || !make_room(max_sessions_)) return;
   accepting_ = true;
   // Accepted only in its turn: what is accepted ahead of it is lost where the process ends or hands over
   // first.
   acceptor_.async_wait(tcp::acceptor::wait_read, [this](boost::system::error_code error) {
     if (error == boost::asio::error::operation_aborted || finishing_) return;
     accepting_ = false;
+    if (awaits_inherited_) return;
     tcp::socket socket(io_);
     if (!error) acceptor_.accept(socket, error);
     if (error == boost::asio::error::would_block || net::is_lost_connection(error)) return accept();
@@ -74,8 +76,24 @@
   return session;
 }
 
-void Clients::add_inherited(const std::string& state, int descriptor) {
-  add(tcp::socket(io_, protocol_, descriptor))->restore(state);
+bool Clients::has_room_for_inherited(bool has_descriptor) {
+  const bool waited = std::exchange(awaits_inherited_, true);
+  const size_t max_sessions = has_descriptor ? max_sessions_ : std::min(max_sessions_, sessions_.size());
+  const bool is_place_free = finishing_ || make_room(max_sessions);
+  const bool has_room = has_descriptor && is_place_free;
+  awaits_inherited_ = !has_room;
+  if (has_room && waited) accept();
+  return has_room;
+}
+
+void Clients::add_inherited(const ClientFrame& state, Descriptor descriptor) {
+  tcp::socket socket(io_);
+  boost::system::error_code error;
+  if (!is_stream_socket(descriptor.get(), false)) error = boost::asio::error::not_socket;
+  if (!error) socket.assign(protocol_, descriptor.get(), error);
+  if (error) throw HandoverFrameInvalid(HandoverFrame::kClient, error.message());
+  descriptor.release();
+  add(std::move(socket))->restore(state);
 }
 
 void Clients::hand_over(HandOver hand_over) {
@@ -95,17 +113,17 @@
 // At the limit the connections that have been idle for longest go. Clients keep connections for good, and
 // some connect and send nothing: they would shut out those that have something to submit. A request may cross
 // the end of an idle connection, so that it takes its time, and a few go ahead of need.
-bool Clients::make_room() {
-  const size_t ahead = max_sessions_ / kAhead + 1;
-  if (sessions_.size() + ahead <= max_sessions_) return true;
+bool Clients::make_room(size_t max_sessions) {
+  const size_t ahead = max_sessions / kAhead + 1;
+  if (sessions_.size() + ahead <= max_sessions) return true;
   const Time now = steady_now();
-  const size_t wanted = sessions_.size() + ahead - max_sessions_;
+  const size_t wanted = sessions_.size() + ahead - max_sessions;
   auto leaving = static_cast<size_t>(std::count_if(
       sessions_.begin(), sessions_.end(), [](const auto& session) { return session->is_leaving(); }));
   end_idle(now, false, wanted, leaving);
-  if (leaving == 0 && sessions_.size() >= max_sessions_) end_idle(now, true, wanted, leaving);
-  close_lingering(now);
-  if (sessions_.size() < max_sessions_) return true;
+  if (leaving == 0 && sessions_.size() >= max_sessions) end_idle(now, true, wanted, leaving);
+  close_lingering(now, max_sessions);
+  if (sessions_.size() < max_sessions) return true;
   if (leaving > 0) accept_in(std::chrono::microseconds(kMinLinger));  // else the next look is the sweep's
   return false;
 }
@@ -127,9 +145,9 @@
 }
 
 // A close calls accept() for the next one: here that is the caller's.
-void Clients::close_lingering(Time now) {
+void Clients::close_lingering(Time now, size_t max_sessions) {
   const bool accepting = std::exchange(accepting_, true);
-  for (auto next = sessions_.begin(); next != sessions_.end() && sessions_.size() >= max_sessions_;) {
+  for (auto next = sessions_.begin(); next != sessions_.end() && sessions_.size() >= max_sessions;) {
     const auto session = *next++;
     if (session->lingering() && session->spare(now, false) >= 0 && session->quiet()) session->close();
   }
@@ -143,7 +161,7 @@
     session->enforce_timeouts(now);
     if (finishing_ || (session->has_spoken() && leaving())) session->finish();
   }
-  if (accepting_ && !finishing_) make_room();  // the limit may have been lowered
+  if (accepting_ && !finishing_) make_room(max_sessions_);  // the limit may have been lowered
   accept();
   sweeper_.expires_after(kSweep);
   sweeper_.async_wait([this](const boost::system::error_code& error) {
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -10,6 +10,8 @@
 #include <memory>
 
 #include "relay/directory.h"
+#include "relay/handover.h"
+#include "relay/handover_frames.h"
 #include "relay/message.h"
 
 namespace turntally::relay {
@@ -20,7 +22,7 @@
   using Submit = std::function<void(SubmittedMessage message, Answer answer)>;
 
   // For another process: a connection, with what it must know of it.
-  using HandOver = std::function<void(const std::string& state, int descriptor)>;
+  using HandOver = std::function<void(const ClientFrame& state, int descriptor)>;
 
   // Listens at once, or takes a listener over, and has at most `max_sessions` connections; throws
   // boost::system::system_error.
@@ -50,8 +52,14 @@
   // Takes no new connection and sends those that are open to another process, each once it has been answered.
   void hand_over(HandOver hand_over);
   int listener() { return acceptor_.is_open() ? acceptor_.native_handle() : -1; }
-  bool answered() const;                                         // none waits for an answer to what was read
-  void add_inherited(const std::string& state, int descriptor);  // of the process before, with its state
+  bool answered() const;  // none waits for an answer to what was read
+
+  // Whether there is a place, and as `has_descriptor` says a descriptor, for one more connection of the
+  // process before. Where there is none, room is being made, and until this is true no new connection is
+  // accepted.
+  bool has_room_for_inherited(bool has_descriptor);
+  // A connection of the process before, with its state. Throws HandoverFrameInvalid where it is none.
+  void add_inherited(const ClientFrame& state, Descriptor descriptor);
 
  private:
   class Session;
@@ -62,9 +70,9 @@
   void accept_in(std::chrono::microseconds pause);
   void accept_waiting();
   std::shared_ptr<Session> add(tcp::socket socket);
-  bool make_room();
+  bool make_room(size_t max_sessions);
   void end_idle(Time now, bool pressed, size_t wanted, size_t& leaving);
-  void close_lingering(Time now);
+  void close_lingering(Time now, size_t max_sessions);
   void sweep();
   void forget(std::list<std::shared_ptr<Session>>::iterator place);
 
@@ -76,6 +84,7 @@
   size_t max_sessions_;
   Submit submit_;
   bool accepting_ = false;
+  bool awaits_inherited_ = false;  // places are kept for connections of the process before
   bool finishing_ = false;
   bool reading_ = true;
   Time draining_since_ = 0;                    // 0: not draining
--- /dev/null
+++ b/relay/descriptor.cpp
@@ -0,0 +1,35 @@
+#include "relay/descriptor.h"
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace turntally::relay {
+namespace {
+
+// -1: the descriptor has no such option.
+int socket_option(int fd, int name) {
+  int value = -1;
+  socklen_t size = sizeof value;
+  return ::getsockopt(fd, SOL_SOCKET, name, &value, &size) == 0 ? value : -1;
+}
+
+}  // namespace
+
+Descriptor::~Descriptor() {
+  if (fd_ >= 0) ::close(fd_);
+}
+
+bool is_stream_socket(int fd, bool listening) {
+  return socket_option(fd, SO_DOMAIN) == AF_INET && socket_option(fd, SO_TYPE) == SOCK_STREAM &&
+         socket_option(fd, SO_ACCEPTCONN) == (listening ? 1 : 0);
+}
+
+bool DescriptorReserve::acquire() {
+  if (held_.get() < 0) held_ = Descriptor(::open("/dev/null", O_RDONLY | O_CLOEXEC));
+  return held_.get() >= 0;
+}
+
+void DescriptorReserve::release() { Descriptor(std::move(held_)); }
+
+}  // namespace turntally::relay
--- a/relay/errors.h
+++ b/relay/errors.h
@@ -42,4 +42,13 @@
               "end this process before a new version is started; all else works") {}
 };
 
+// A frame of a hand-over, from either process. It is skipped; a client's connection in it is closed.
+class HandoverFrameInvalid : public net::Error {
+ public:
+  HandoverFrameInvalid(char kind, const std::string& what)
+      : Error("handover_frame_invalid", net::Family::kBroken,
+              "frame " + std::to_string(static_cast<unsigned char>(kind)) + " of the hand-over: " + what,
+              "nothing: the hand-over goes on without it; tell the developers which two versions met") {}
+};
+
 }  // namespace turntally::relay
--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -36,6 +36,8 @@
 
 constexpr auto kPoll = std::chrono::milliseconds(20);
 constexpr auto kRetryPause = std::chrono::milliseconds(50);
+constexpr auto kRoomPause = std::chrono::milliseconds(10);
+constexpr auto kMaxRoomWait = std::chrono::seconds(2);  // less than the predecessor waits for this process
 constexpr size_t kMaxFrameBytes = 320 * 1024;  // a client's bytes: one read beside a command not yet whole
 
 std::pair<sockaddr_un, socklen_t> local_address(const std::string& name) {
@@ -61,12 +63,8 @@
 
 }  // namespace
 
-Descriptor::~Descriptor() {
-  if (fd_ >= 0) ::close(fd_);
-}
-
 Handover::Handover(boost::asio::io_context& io, const std::filesystem::path& folder)
-    : predecessor_(io), listener_(io), successor_(io), retry_(io) {
+    : predecessor_(io), listener_(io), successor_(io), retry_(io), room_timer_(io) {
   const auto lock = folder / "lock";
   lock_ = Descriptor(net::open_file(lock, O_RDWR | O_CREAT, kPeerTimeout));
   struct stat about {};
@@ -91,13 +89,16 @@
       !trusted(socket.get())) {
     return false;
   }
-  predecessor_.assign(socket.release());
+  Error error;
+  predecessor_.assign(socket.get(), error);
+  if (error) return false;
+  socket.release();
   auto folder = next_frame();
   if (folder && folder->kind == HandoverFrame::kFolder && folder->descriptor.get() >= 0) {
     lock_ = std::move(folder->descriptor);
     return true;
   }
-  predecessor_.close();
+  predecessor_.close(error);
   return false;
 }
 
@@ -112,7 +113,9 @@
     ready = ::poll(&waiting, 1, static_cast<int>(std::max(left, milliseconds(0)).count()));
   } while (ready < 0 && errno == EINTR);
   if (ready <= 0) return {};
-  return receive(predecessor_);
+  Received received = receive(predecessor_);
+  if (received.status != Received::Status::kFrame) return {};
+  return std::move(received.frame);
 }
 
 bool Handover::send(Stream& to, HandoverFrame::Kind kind, const std::string& text, int descriptor) {
@@ -139,7 +142,7 @@
   return sent == static_cast<ssize_t>(1 + text.size());
 }
 
-std::optional<HandoverFrame> Handover::receive(Stream& from) {
+Handover::Received Handover::receive(Stream& from) {
   std::vector<char> bytes(kMaxFrameBytes);
   iovec part{bytes.data(), bytes.size()};
   alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))];
@@ -152,10 +155,14 @@
   bool reset =
       false;  // reported once, where the other end left something unread; what it sent is still there
   do {
-    got = ::recvmsg(from.native_handle(), &message, MSG_CMSG_CLOEXEC);
+    got = ::recvmsg(from.native_handle(), &message, MSG_CMSG_CLOEXEC | MSG_DONTWAIT);
   } while (got < 0 && (errno == EINTR || (errno == ECONNRESET && !std::exchange(reset, true))));
-  if (got <= 0) return {};
-  HandoverFrame out;
+  Received received;
+  if (got < 0 && errno == EAGAIN) received.status = Received::Status::kNothingYet;
+  if (got <= 0) return received;
+  received.status = Received::Status::kFrame;
+  HandoverFrame& out = received.frame;
+  out.truncated = (message.msg_flags & (MSG_TRUNC | MSG_CTRUNC)) != 0;
   out.kind = static_cast<HandoverFrame::Kind>(bytes[0]);
   out.text.assign(bytes.data() + 1, static_cast<size_t>(got) - 1);
   const cmsghdr* head = CMSG_FIRSTHDR(&message);
@@ -164,17 +171,65 @@
     std::memcpy(&fd, CMSG_DATA(head), sizeof fd);
     out.descriptor = Descriptor(fd);
   }
-  return out;
+  return received;
 }
 
 void Handover::listen_to(Stream& from, FrameHandler handler) {
   if (!from.is_open()) return;
   from.async_wait(Stream::wait_read, [this, &from, handler = std::move(handler)](const Error& error) {
     if (error) return;
-    auto frame = receive(from);
-    const bool gone = !frame;
-    handler(std::move(frame));
-    gone ? from.close() : listen_to(from, handler);
+    Received received = receive(from);
+    if (received.status == Received::Status::kFrame) handler(std::move(received.frame));
+    if (received.status != Received::Status::kGone) return listen_to(from, handler);
+    handler({});
+    Error ignored;
+    from.close(ignored);
+  });
+}
+
+void Handover::listen_to_predecessor(FrameHandler handler, RoomCheck has_room) {
+  if (!predecessor_.is_open()) return;
+  on_predecessor_frame_ = std::move(handler);
+  has_room_ = std::move(has_room);
+  receive_from_predecessor();
+}
+
+// All that are there come before the event loop turns to anything else, new clients among it.
+void Handover::receive_from_predecessor() {
+  while (may_receive()) {
+    reserve_.release();
+    Received received = receive(predecessor_);
+    if (received.status == Received::Status::kNothingYet) return await_predecessor();
+    if (received.status == Received::Status::kGone) {
+      Error ignored;
+      predecessor_.close(ignored);
+      return on_predecessor_frame_({});
+    }
+    on_predecessor_frame_(std::move(received.frame));
+  }
+  room_timer_.expires_after(kRoomPause);
+  room_timer_.async_wait([this](const Error& error) {
+    if (!error && predecessor_.is_open()) receive_from_predecessor();
+  });
+}
+
+bool Handover::may_receive() {
+  const auto now = std::chrono::steady_clock::now();
+  const bool waits = waits_for_room_since_ != std::chrono::steady_clock::time_point();
+  const bool has_descriptor = reserve_.acquire();
+  const bool has_room = has_room_(has_descriptor);
+  const bool waited_enough = waits && now - waits_for_room_since_ >= kMaxRoomWait;
+  if (has_descriptor && (has_room || waited_enough)) {
+    waits_for_room_since_ = {};
+    return true;
+  }
+  if (!waits) waits_for_room_since_ = now;
+  return false;
+}
+
+void Handover::await_predecessor() {
+  predecessor_.async_wait(Stream::wait_read, [this](const Error& error) {
+    if (!error) receive_from_predecessor();
   });
 }
 
@@ -189,7 +244,10 @@
     net::log::failed(net::log::Level::kWarn, "no_handover", NoHandover(std::strerror(errno)));
     return;
   }
-  listener_.assign(socket.release());
+  Error error;
+  listener_.assign(socket.get(), error);
+  if (error) return retry_await();
+  socket.release();
   accept_successor();
 }
 
@@ -206,7 +264,10 @@
     Descriptor socket(::accept4(listener_.native_handle(), nullptr, nullptr, SOCK_CLOEXEC));
     if (socket.get() < 0 || !trusted(socket.get())) return accept_successor();
     set_up(socket.get());
-    successor_.assign(socket.release());
+    Error failed;
+    successor_.assign(socket.get(), failed);
+    if (failed) return accept_successor();
+    socket.release();
     on_successor_();
   });
 }
@@ -214,20 +275,23 @@
 // One that takes nothing any more must not block this process with each frame.
 bool Handover::send_frame(HandoverFrame::Kind kind, const std::string& text, int descriptor) {
   if (send(successor_, kind, text, descriptor)) return true;
-  if (successor_.is_open()) successor_.close();
+  Error ignored;
+  if (successor_.is_open()) successor_.close(ignored);
   return false;
 }
 
 bool Handover::send_folder_lock() {
-  listener_.close();  // the successor offers the next one under the same name
+  Error ignored;
+  listener_.close(ignored);  // the successor offers the next one under the same name
   if (!send_frame(HandoverFrame::kFolder, "", lock_.get())) return false;
   lock_ = Descriptor();
   return true;
 }
 
 void Handover::drop_successor() {
-  listener_.close();
-  successor_.close();
+  Error ignored;
+  listener_.close(ignored);
+  successor_.close(ignored);
   await_successor(std::move(on_successor_));
 }
 
--- a/relay/handover.h
+++ b/relay/handover.h
@@ -4,31 +4,16 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <filesystem>
 #include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 
-namespace turntally::relay {
-
-class Descriptor {
- public:
-  explicit Descriptor(int fd = -1) : fd_(fd) {}
-  Descriptor(Descriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
-  Descriptor& operator=(Descriptor&& other) noexcept {
-    std::swap(fd_, other.fd_);
-    return *this;
-  }
-  ~Descriptor();
-
-  int get() const { return fd_; }
-  int release() { return std::exchange(fd_, -1); }
+#include "relay/descriptor.h"
 
- private:
-  int fd_;
-};
+namespace turntally::relay {
 
 struct HandoverFrame {
   enum Kind : char {
@@ -42,12 +27,16 @@
   Kind kind = kFolder;
   std::string text;
   Descriptor descriptor;
+  bool truncated = false;  // a part of the text or a descriptor was lost on the way
 };
 
 class Handover {
  public:
   using FrameHandler =
       std::function<void(std::optional<HandoverFrame>)>;  // nothing: the other process is gone
+  // Whether the next frame may be taken. `has_descriptor`: the process can take one more descriptor; where it
+  // cannot the answer is no, and room is to be made.
+  using RoomCheck = std::function<bool(bool has_descriptor)>;
 
   // Waits until the folder is this process's own: free, or given by its owner. Throws StateUnusable or
   // NotHandedOver if it becomes neither.
@@ -55,10 +44,12 @@
 
   bool taken_over() const { return predecessor_.is_open(); }
 
-  // From the predecessor: the next frame, waited for unless that process is gone or stalls; and all that
-  // come later.
+  // From the predecessor: the next frame, waited for unless that process is gone or stalls.
   std::optional<HandoverFrame> next_frame();
-  void listen_to_predecessor(FrameHandler handler) { listen_to(predecessor_, std::move(handler)); }
+  // All that come later, as many in a turn as are there. Each waits in its socket, and the predecessor with
+  // it, until the process can take one more descriptor and `has_room` is true, but for `has_room` not longer
+  // than kMaxRoomWait.
+  void listen_to_predecessor(FrameHandler handler, RoomCheck has_room);
   bool send_to_predecessor(HandoverFrame::Kind kind, const std::string& text) {
     return send(predecessor_, kind, text, -1);
   }
@@ -75,10 +66,20 @@
  private:
   using Stream = boost::asio::posix::stream_descriptor;
 
+  // What one look at a socket gave.
+  struct Received {
+    enum class Status { kFrame, kNothingYet, kGone };
+    Status status = Status::kGone;
+    HandoverFrame frame;
+  };
+
   bool request_folder_lock();
   static bool send(Stream& to, HandoverFrame::Kind kind, const std::string& text, int descriptor);
-  static std::optional<HandoverFrame> receive(Stream& from);
+  static Received receive(Stream& from);
   void listen_to(Stream& from, FrameHandler handler);
+  void receive_from_predecessor();
+  bool may_receive();
+  void await_predecessor();
   void accept_successor();
   void retry_await();  // sockets run short for a moment
 
@@ -89,6 +90,11 @@
   Stream successor_;
   boost::asio::steady_timer retry_;
   std::function<void()> on_successor_;
+  FrameHandler on_predecessor_frame_;
+  RoomCheck has_room_;
+  DescriptorReserve reserve_;  // while frames of the predecessor may come
+  boost::asio::steady_timer room_timer_;
+  std::chrono::steady_clock::time_point waits_for_room_since_;  // zero: it does not wait
 };
 
 }  // namespace turntally::relay
--- a/relay/handover_frames.cpp
+++ b/relay/handover_frames.cpp
@@ -1,11 +1,18 @@
 #include "relay/handover_frames.h"
 
+#include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "relay/errors.h"
+#include "relay/handover.h"
+
 namespace turntally::relay {
 namespace {
 
+constexpr Time kMaxTime = Time{1} << 53;  // 285 years in microseconds: sums of such times do not overflow
+constexpr int kMaxAttemptNumber = 1'000'000;
+
 constexpr const char* kHostKey = "host";
 constexpr const char* kStartedAtKey = "since";
 constexpr const char* kAttemptNumbersKey = "messages";
@@ -18,6 +25,48 @@
 constexpr const char* kLoadReportKey = "report";
 constexpr const char* kCallStartedKey = "began";
 
+constexpr const char* kSinceKey = "since";
+constexpr const char* kReceivedAtKey = "came";
+constexpr const char* kCommandSinceKey = "began";
+constexpr const char* kHasSpokenKey = "spoke";
+
+class OutOfRange : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+int64_t integer_up_to(const nlohmann::json& value, int64_t max) {
+  if (!value.is_number_integer()) throw OutOfRange("a number is none");
+  const bool is_too_large = value.is_number_unsigned() && value.get<uint64_t>() > static_cast<uint64_t>(max);
+  if (is_too_large || value.get<int64_t>() < 0 || value.get<int64_t>() > max) {
+    throw OutOfRange("a number is out of range");
+  }
+  return value.get<int64_t>();
+}
+
+Time time_from(const nlohmann::json& value) { return integer_up_to(value, kMaxTime); }
+
+int attempt_number_from(const nlohmann::json& value) {
+  return static_cast<int>(integer_up_to(value, kMaxAttemptNumber));
+}
+
+policy::Outcome outcome_from(const nlohmann::json& value) {
+  return static_cast<policy::Outcome>(
+      integer_up_to(value, static_cast<int64_t>(policy::Outcome::kMalformedResponse)));
+}
+
+// Parses the text with `read` and turns whatever is wrong with it into the error of this kind of frame.
+template <class Read>
+auto parse_frame(char kind, std::string_view text, Read read) {
+  try {
+    return read(nlohmann::json::parse(text));
+  } catch (const nlohmann::json::exception& error) {
+    throw HandoverFrameInvalid(kind, error.what());
+  } catch (const OutOfRange& error) {
+    throw HandoverFrameInvalid(kind, error.what());
+  }
+}
+
 }  // namespace
 
 std::string InFlightCallFrame::text() const {
@@ -27,13 +76,14 @@
 }
 
 InFlightCallFrame InFlightCallFrame::parse(const std::string& text) {
-  const auto json = nlohmann::json::parse(text);
-  InFlightCallFrame frame;
-  frame.host_id = json.at(kHostKey).get<std::string>();
-  frame.started_at = json.at(kStartedAtKey).get<Time>();
-  for (const auto& [id, attempt] : json.at(kAttemptNumbersKey).items())
-    frame.attempt_numbers[id] = attempt.get<int>();
-  return frame;
+  return parse_frame(HandoverFrame::kCall, text, [](const nlohmann::json& json) {
+    InFlightCallFrame frame;
+    frame.host_id = json.at(kHostKey).get<std::string>();
+    frame.started_at = time_from(json.at(kStartedAtKey));
+    for (const auto& [id, attempt] : json.at(kAttemptNumbersKey).items())
+      frame.attempt_numbers[id] = attempt_number_from(attempt);
+    return frame;
+  });
 }
 
 std::string AttemptEndedFrame::text() const {
@@ -50,18 +100,42 @@
 }
 
 AttemptEndedFrame AttemptEndedFrame::parse(const std::string& text) {
-  const auto json = nlohmann::json::parse(text);
-  AttemptEndedFrame frame;
-  frame.end.outcome = static_cast<policy::Outcome>(json.at(kOutcomeKey).get<int>());
-  frame.end.final = json.at(kFinalKey).get<bool>();
-  frame.end.latency = json.at(kLatencyKey).get<Time>();
-  frame.end.retry_after = json.at(kRetryAfterKey).get<Time>();
-  for (const auto& value : json.at(kLoadReportKey)) {
-    frame.end.load_report.push_back(value.is_null() ? std::numeric_limits<float>::quiet_NaN()
-                                                    : value.get<float>());
-  }
-  frame.message_id = json.at(kMessageIdKey).get<std::string>();
-  frame.call_started = json.at(kCallStartedKey).get<bool>();
+  return parse_frame(HandoverFrame::kEnded, text, [](const nlohmann::json& json) {
+    AttemptEndedFrame frame;
+    frame.end.outcome = outcome_from(json.at(kOutcomeKey));
+    frame.end.final = json.at(kFinalKey).get<bool>();
+    frame.end.latency = time_from(json.at(kLatencyKey));
+    frame.end.retry_after = time_from(json.at(kRetryAfterKey));
+    for (const auto& value : json.at(kLoadReportKey)) {
+      frame.end.load_report.push_back(value.is_null() ? std::numeric_limits<float>::quiet_NaN()
+                                                      : value.get<float>());
+    }
+    frame.message_id = json.at(kMessageIdKey).get<std::string>();
+    frame.call_started = json.at(kCallStartedKey).get<bool>();
+    return frame;
+  });
+}
+
+std::string ClientFrame::text() const {
+  const nlohmann::json state = {{kSinceKey, since},
+                                {kReceivedAtKey, received_at},
+                                {kCommandSinceKey, command_since},
+                                {kHasSpokenKey, has_spoken}};
+  return state.dump() + "\n" + unread;
+}
+
+ClientFrame ClientFrame::parse(const std::string& text) {
+  const size_t end = std::min(text.find('\n'), text.size());
+  ClientFrame frame = parse_frame(HandoverFrame::kClient, std::string_view(text).substr(0, end),
+                                  [](const nlohmann::json& json) {
+                                    ClientFrame state;
+                                    state.since = time_from(json.at(kSinceKey));
+                                    state.received_at = time_from(json.at(kReceivedAtKey));
+                                    state.command_since = time_from(json.at(kCommandSinceKey));
+                                    state.has_spoken = json.at(kHasSpokenKey).get<bool>();
+                                    return state;
+                                  });
+  if (end < text.size()) frame.unread = text.substr(end + 1);
   return frame;
 }
 
--- a/relay/handover_frames.h
+++ b/relay/handover_frames.h
@@ -1,5 +1,6 @@
-// The texts of the frames about calls that are in flight while one process hands over to the next. Both ends
-// may be of different versions: names and values of the texts never change.
+// The texts of the frames by which one process hands over to the next. Both ends may be of different
+// versions: names and values of the texts never change. Each parse() throws HandoverFrameInvalid on what is
+// no such text, and whatever it returns is within the ranges named.
 #pragma once
 
 #include <map>
@@ -16,7 +17,6 @@
   std::map<std::string, int> attempt_numbers;  // by message id
 
   std::string text() const;
-  // Throws nlohmann::json::exception on what is no such text.
   static InFlightCallFrame parse(const std::string& text);
 };
 
@@ -27,8 +27,20 @@
   bool call_started = false;
 
   std::string text() const;
-  // Throws nlohmann::json::exception on what is no such text.
   static AttemptEndedFrame parse(const std::string& text);
 };
 
+// Text of HandoverFrame::kClient: what must be known of a client's connection. Times are microseconds of the
+// machine's steady clock.
+struct ClientFrame {
+  Time since = 0;          // when it connected or was last answered
+  Time received_at = 0;    // when the newest byte came
+  Time command_since = 0;  // when the first byte of an unfinished command was read; 0: none has begun
+  bool has_spoken = false;
+  std::string unread;  // bytes of the unfinished command
+
+  std::string text() const;
+  static ClientFrame parse(const std::string& text);
+};
+
 }  // namespace turntally::relay
--- a/relay/metrics.cpp
+++ b/relay/metrics.cpp
@@ -42,6 +42,7 @@
   one("targets_disabled", "gauge", targets_disabled);
   one("reload_success_total", "counter", reload_success);
   one("reload_failure_total", "counter", reload_failure);
+  if (handover_frames_rejected) one("handover_frames_rejected_total", "counter", *handover_frames_rejected);
   if (registry) {
     type(out, "list_age_seconds", "gauge");
     out += "proxy_list_age_seconds " + std::to_string(registry->age_s) + "\n";
--- a/relay/metrics.h
+++ b/relay/metrics.h
@@ -32,6 +32,7 @@
   size_t targets = 0;           // endpoints listed
   size_t targets_disabled = 0;  // and of these avoided now
   std::optional<RegistryMetrics> registry;
+  std::optional<uint64_t> handover_frames_rejected;  // only where this process has taken over from another
 
   std::string text() const;
 };
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -18,6 +18,7 @@
 constexpr Time kProcessEnds = 3600 * kMs;  // by then it has ended
 constexpr Time kStopPoll = 50 * kMs;
 constexpr Time kLastStopPoll = 2 * kMs;
+constexpr auto kListenRetryPause = std::chrono::milliseconds(20);
 constexpr Time kFirstListWait = 300 * kMs;  // discovery answers at once, unless it is down
 
 DurableClock clock_of(const Journal& journal) {
@@ -102,20 +103,35 @@
 // Messages are accepted and recovered only now: discovery has sent the list that it had.
 void Relay::open() {
   if (clients_ || stopping_since_ != 0 || handed_over_) return;
-  recover_messages();
-  clients_.emplace(
-      io_, config_.listen, max_clients(config_),
-      [this](SubmittedMessage message, Clients::Answer answer) {
-        accept_message(std::move(message), std::move(answer));
-      },
-      listener_.release());
+  if (!std::exchange(recovered_, true)) recover_messages();
+  if (!open_clients()) return;
   forget_unused_terms();
-  handover_.listen_to_predecessor(
-      [this](std::optional<HandoverFrame> frame) { on_predecessor_frame(std::move(frame)); });
+  listen_to_predecessor();
   if (draining_) clients_->drain();
   listening_(clients_->address());
 }
 
+// Whether the listener is open. A predecessor whose listener did not come over may hold the address for a
+// moment longer: then it is tried again.
+bool Relay::open_clients() {
+  try {
+    clients_.emplace(
+        io_, config_.listen, max_clients(config_),
+        [this](SubmittedMessage message, Clients::Answer answer) {
+          accept_message(std::move(message), std::move(answer));
+        },
+        listener_.release());
+    return true;
+  } catch (const net::CannotListen&) {
+    if (steady_now() >= listen_by_) throw;
+  }
+  open_timer_.expires_after(kListenRetryPause);
+  open_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) open();
+  });
+  return false;
+}
+
 std::optional<tcp::endpoint> Relay::control_address() const {
   if (!control_) return {};
   return control_->address();
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -19,6 +19,7 @@
 #include "relay/directory.h"
 #include "relay/discovery.h"
 #include "relay/durable_clock.h"
+#include "relay/errors.h"
 #include "relay/fence.h"
 #include "relay/final_answer_publisher.h"
 #include "relay/handover.h"
@@ -84,6 +85,7 @@
 
   // Lifecycle, reload and shutdown: relay.cpp.
   void open();
+  bool open_clients();
   void apply(const Config& next);
   void note_excess_messages();
   std::shared_ptr<policy::Settings> policy_settings() const;
@@ -149,7 +151,12 @@
 
   // Hand-over from the predecessor and to the successor: relay_handover.cpp.
   void take_over();
+  void take_listener(HandoverFrame frame);
+  void take_call(const InFlightCallFrame& call);
+  void listen_to_predecessor();
   void on_predecessor_frame(std::optional<HandoverFrame> frame);
+  void take_client(HandoverFrame frame);
+  void reject_frame(const HandoverFrameInvalid& error);
   void on_predecessor_gone();
   void on_inherited_attempt_ended(const std::string& id, policy::AttemptEnded end, bool call_started);
   void arrive_deferred(const InheritedAttempt& inherited, const policy::AttemptEnded& end, bool call_started);
@@ -177,7 +184,8 @@
   Handover handover_;
   bool handed_over_ = false;  // all but the calls in flight is another process's
   std::map<std::string, InheritedAttempt> inherited_attempts_;  // by message id
-  Descriptor listener_;                                         // of the predecessor
+  uint64_t inherited_calls_ = 0;
+  Descriptor listener_;  // of the predecessor
   Journal journal_;
   DurableClock clock_;  // of all times in the journal
   DeliveryTermsStore delivery_terms_;
@@ -206,6 +214,8 @@
   std::string list_identity_;                       // of the registry's list; empty: it is discovery's
   std::function<void(const tcp::endpoint&)> listening_;
   boost::asio::steady_timer open_timer_;
+  bool recovered_ = false;          // the messages of before
+  Time listen_by_ = 0;              // until then the address may still be the predecessor's
   std::optional<Clients> clients_;  // once the messages of before are recovered
   bool draining_ = false;
   Metrics metrics_;  // what is counted here; the rest is looked up
--- a/relay/relay_handover.cpp
+++ b/relay/relay_handover.cpp
@@ -1,40 +1,93 @@
 // The relay's hand-over: what it takes over from its predecessor, and what it gives to its successor.
+#include <algorithm>
+
 #include "net/log.h"
+#include "relay/errors.h"
 #include "relay/relay.h"
 
 namespace turntally::relay {
+namespace {
+
+constexpr Time kMaxListenWait = 5'000'000;  // for a listener that the predecessor has not closed yet
+
+}  // namespace
 
 // What the predecessor has in flight, up to the listener. The frames that follow are read while clients are
 // served.
 void Relay::take_over() {
-  uint64_t call_number = 0;
+  metrics_.handover_frames_rejected = 0;
   while (auto frame = handover_.next_frame()) {
-    if (frame->kind == HandoverFrame::kListener) {
-      const bool same = config_.listen.port() == 0 || frame->text == net::text_of(config_.listen);
-      if (same) listener_ = std::move(frame->descriptor);
-      return;
+    const bool is_last = frame->kind == HandoverFrame::kListener;
+    try {
+      if (frame->truncated) throw HandoverFrameInvalid(frame->kind, "cut short on its way");
+      if (is_last) take_listener(std::move(*frame));
+      if (frame->kind == HandoverFrame::kCall) take_call(InFlightCallFrame::parse(frame->text));
+    } catch (const HandoverFrameInvalid& error) {
+      reject_frame(error);
+      if (is_last) listen_by_ = steady_now() + kMaxListenWait;
     }
-    if (frame->kind != HandoverFrame::kCall) continue;
-    const InFlightCallFrame call = InFlightCallFrame::parse(frame->text);
-    const Endpoint endpoint = directory_.handle(call.host_id);
-    ++call_number;
-    for (const auto& [id, attempt] : call.attempt_numbers)
-      inherited_attempts_[id] = {0, attempt, {endpoint, call.started_at, call_number}, {}};
+    if (is_last) return;
   }
 }
 
+// A predecessor whose listener is closed sends none.
+void Relay::take_listener(HandoverFrame frame) {
+  if (frame.descriptor.get() < 0 && frame.text.empty()) return;
+  if (!is_stream_socket(frame.descriptor.get(), true))
+    throw HandoverFrameInvalid(frame.kind, "brings no listener");
+  const bool same = config_.listen.port() == 0 || frame.text == net::text_of(config_.listen);
+  if (same) listener_ = std::move(frame.descriptor);
+}
+
+void Relay::take_call(const InFlightCallFrame& call) {
+  const Endpoint endpoint = directory_.handle(call.host_id);
+  const Time started_at = std::min(call.started_at, steady_now());
+  ++inherited_calls_;
+  for (const auto& [id, attempt] : call.attempt_numbers)
+    inherited_attempts_[id] = {0, attempt, {endpoint, started_at, inherited_calls_}, {}};
+}
+
+void Relay::listen_to_predecessor() {
+  handover_.listen_to_predecessor(
+      [this](std::optional<HandoverFrame> frame) { on_predecessor_frame(std::move(frame)); },
+      [this](bool has_descriptor) {
+        if (handed_over_ || !clients_) return has_descriptor;
+        return clients_->has_room_for_inherited(has_descriptor);
+      });
+}
+
+// Nothing in a frame may end this process: it has all that the predecessor had.
 void Relay::on_predecessor_frame(std::optional<HandoverFrame> frame) {
   if (!frame) return on_predecessor_gone();
-  if (frame->kind == HandoverFrame::kClient && handed_over_) {
-    handover_.send_frame(HandoverFrame::kClient, frame->text, frame->descriptor.get());
-  } else if (frame->kind == HandoverFrame::kClient) {
-    clients_->add_inherited(frame->text, frame->descriptor.release());
-  } else if (frame->kind == HandoverFrame::kEnded) {
-    AttemptEndedFrame ended = AttemptEndedFrame::parse(frame->text);
-    on_inherited_attempt_ended(ended.message_id, std::move(ended.end), ended.call_started);
+  try {
+    if (frame->truncated) throw HandoverFrameInvalid(frame->kind, "cut short on its way");
+    if (frame->kind == HandoverFrame::kClient) {
+      take_client(std::move(*frame));
+    } else if (frame->kind == HandoverFrame::kEnded) {
+      AttemptEndedFrame ended = AttemptEndedFrame::parse(frame->text);
+      on_inherited_attempt_ended(ended.message_id, std::move(ended.end), ended.call_started);
+    } else {
+      throw HandoverFrameInvalid(frame->kind, "is not expected here");
+    }
+  } catch (const HandoverFrameInvalid& error) {
+    reject_frame(error);
+  }
+}
+
+void Relay::take_client(HandoverFrame frame) {
+  if (frame.descriptor.get() < 0) throw HandoverFrameInvalid(frame.kind, "brings no connection");
+  if (handed_over_) {
+    handover_.send_frame(HandoverFrame::kClient, frame.text, frame.descriptor.get());
+  } else {
+    clients_->add_inherited(ClientFrame::parse(frame.text), std::move(frame.descriptor));
   }
 }
 
+void Relay::reject_frame(const HandoverFrameInvalid& error) {
+  ++*metrics_.handover_frames_rejected;
+  net::log::failed(net::log::Level::kWarn, "handover_frame_rejected", error);
+}
+
 // What it had in flight may have run.
 void Relay::on_predecessor_gone() {
   while (!inherited_attempts_.empty()) {
@@ -123,17 +176,16 @@
 // A process that has not opened yet has no clients: what its predecessor sends still passes through.
 void Relay::send_clients() {
   if (clients_) {
-    return clients_->hand_over([this](const std::string& state, int descriptor) {
-      handover_.send_frame(HandoverFrame::kClient, state, descriptor);
+    return clients_->hand_over([this](const ClientFrame& state, int descriptor) {
+      handover_.send_frame(HandoverFrame::kClient, state.text(), descriptor);
     });
   }
-  handover_.listen_to_predecessor(
-      [this](std::optional<HandoverFrame> frame) { on_predecessor_frame(std::move(frame)); });
+  listen_to_predecessor();
   listener_ = Descriptor();
 }
 
 void Relay::on_successor_frame(const std::optional<HandoverFrame>& frame) {
-  if (!frame || frame->kind != HandoverFrame::kCancel) return;
+  if (!frame || frame->truncated || frame->kind != HandoverFrame::kCancel) return;
   const std::string& id = frame->text;
   if (inherited_attempts_.contains(id)) handover_.send_to_predecessor(HandoverFrame::kCancel, id);
   const auto number = messages_.number_of(id);
--- a/tests/cli/errors_test.cpp
+++ b/tests/cli/errors_test.cpp
@@ -67,6 +67,7 @@
       {"relay/StateUnusable", relay::StateUnusable("no")},
       {"relay/NotHandedOver", relay::NotHandedOver("folder")},
       {"relay/NoHandover", relay::NoHandover("no")},
+      {"relay/HandoverFrameInvalid", relay::HandoverFrameInvalid('S', "no")},
       {"relay/ClaimUnreadable", relay::ClaimUnreadable("no")},
       {"relay/LeaseFenced", relay::LeaseFenced({"task/mirror", 3, false}, 4)},
       {"relay/LeaseNamesFull", relay::LeaseNamesFull("task/mirror")},
--- a/tests/relay/shutdown_test.cpp
+++ b/tests/relay/shutdown_test.cpp
@@ -173,7 +173,7 @@
   for (int i = 0; i < 3; ++i) waiting.push_back(client());
   io_.run_one();  // the first one's turn
   size_t given = 0;
-  clients_.hand_over([&](const std::string&, int) { ++given; });
+  clients_.hand_over([&](const relay::ClientFrame&, int) { ++given; });
   run_until([&] { return clients_.answered(); });
   ASSERT_EQ(::fcntl(listener.fd(), F_SETFL, O_NONBLOCK), 0);
   size_t left = 0;
