--- a/tests/relay/handover_test.cpp
+++ b/tests/relay/handover_test.cpp
@@ -4,9 +4,13 @@
 
 #include <sys/socket.h>
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <csignal>
 #include <future>
+#include <memory>
+#include <thread>
+#include <vector>
 
 #include "relay/journal.h"
 #include "tests/support/handover_peers.h"
@@ -389,6 +393,44 @@
   EXPECT_EQ(next.wait(), 0);
 }
 
+// Clients come all the time, and each gets its answer: neither those that are accepted as a process hands
+// over nor those that nobody has accepted yet are reset. By hand: --gtest_repeat=40, two hundred upgrades.
+TEST(Handover, ResetsNoClientWhileProcessesFollowOneAnother) {
+  constexpr int kUpgrades = 5;
+  constexpr int kClients = 4;
+  Side s;
+  std::vector<std::unique_ptr<Program>> programs;
+  programs.push_back(std::make_unique<Program>(s.config));
+  programs.back()->start();
+  const uint16_t port = programs.back()->port();
+  std::atomic<bool> over = false;
+  std::atomic<int> answered = 0;
+  std::atomic<int> unanswered = 0;
+  std::vector<std::thread> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back([&] {
+      while (!over) {
+        Socket client = Socket::connect(port);
+        ++(ping(client) == "+PONG" ? answered : unanswered);
+        client.reset();  // leaves no port behind that waits
+      }
+    });
+  }
+  for (int i = 0; i < kUpgrades; ++i) {
+    programs.push_back(std::make_unique<Program>(s.config));
+    Program& before = *programs[programs.size() - 2];
+    programs.back()->succeed(before);
+    programs.back()->start();
+    EXPECT_EQ(programs.back()->port(), port);
+    before.signal(SIGTERM);
+    EXPECT_EQ(before.wait(), 0);
+  }
+  over = true;
+  for (std::thread& client : clients) client.join();
+  EXPECT_EQ(unanswered, 0) << "of " << answered + unanswered;
+  EXPECT_GT(answered, kUpgrades);
+}
+
 // ---- A new process is asked before it has opened itself ----
 
 TEST(Handover, GoesOnThroughAProcessThatHadNotOpened) {
