Relay: a signal that comes while the process ends no longer ends it

What operators saw: a process that had handed over and was told to end in just that moment ended with "killed by SIGTERM" in place of status 0, which a supervisor takes for a crash. Callers lost nothing: all was handed over.

Cause: the event loop is over, asio's signal set takes its handlers back as it is destroyed, and the default action of a second or late SIGTERM ends the process on its way out.

Change: the signals that the process handles are blocked once the loop has ended.

--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -20,6 +20,14 @@
   });
 }
 
+// A signal that comes while the process is ending already must not be what ends it: all is done by then.
+void block_signals() {
+  sigset_t signals;
+  ::sigemptyset(&signals);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) ::sigaddset(&signals, number);
+  ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -43,6 +51,7 @@
     }
     await_signal(signals, relay);
     io.run();
+    block_signals();
     return 0;
   } catch (const net::Error& error) {  // one line, whatever reads it
     std::fprintf(stderr, "turntally-relay: %s (%s)\n", error.what(), error.action().c_str());
