Relay: places kept for a process before are given back where nothing comes

Cause: Clients kept new connections out by a flag that only the next look for room took back, and behind the last frame there is none.

Evidence: HandoverPlaces.AreGivenToNewClientsWhereNothingComes, failed without this change, passes with it; the suites of the frames, the shutdown and the descriptors pass (32 tests, sanitized debug).

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -16,8 +16,9 @@
 constexpr auto kSweep = std::chrono::milliseconds(100);
 constexpr Time kSecond = 1'000'000;
 constexpr Time kServeOn = kSecond / 2;  // in a drain: the front hears of it, and new connections still come
-constexpr Time kMinLinger = kSecond / 20;  // after an end between requests: for what its client had sent
-constexpr size_t kAhead = 8;               // one place in so many is made free ahead
+constexpr Time kMinLinger = kSecond / 20;   // after an end between requests: for what its client had sent
+constexpr Time kKeepPlaces = kSecond / 20;  // for the process before, from its last need of one
+constexpr size_t kAhead = 8;                // one place in so many is made free ahead
 
 }  // namespace
 
@@ -46,14 +47,14 @@
 }
 
 void Clients::accept() {
-  if (finishing_ || accepting_ || awaits_inherited_ || !make_room(max_sessions_)) return;
+  if (finishing_ || accepting_ || keeps_places() || !make_room(max_sessions_)) return;
   accepting_ = true;
   // Accepted only in its turn: what is accepted ahead of it is lost where the process ends or hands over
   // first.
   acceptor_.async_wait(tcp::acceptor::wait_read, [this](boost::system::error_code error) {
     if (error == boost::asio::error::operation_aborted || finishing_) return;
     accepting_ = false;
-    if (awaits_inherited_) return;
+    if (keeps_places()) return;  // the next sweep looks again
     tcp::socket socket(io_);
     if (!error) acceptor_.accept(socket, error);
     if (error == boost::asio::error::would_block || net::is_lost_connection(error)) return accept();
@@ -77,15 +78,17 @@
 }
 
 bool Clients::has_room_for_inherited(bool has_descriptor) {
-  const bool waited = std::exchange(awaits_inherited_, true);
+  const bool kept_places = places_kept_until_ != 0;
   const size_t max_sessions = has_descriptor ? max_sessions_ : std::min(max_sessions_, sessions_.size());
   const bool is_place_free = finishing_ || make_room(max_sessions);
   const bool has_room = has_descriptor && is_place_free;
-  awaits_inherited_ = !has_room;
-  if (has_room && waited) accept();
+  places_kept_until_ = has_room ? 0 : steady_now() + kKeepPlaces;
+  if (has_room && kept_places) accept();
   return has_room;
 }
 
+bool Clients::keeps_places() const { return steady_now() < places_kept_until_; }
+
 void Clients::add_inherited(const ClientFrame& state, Descriptor descriptor) {
   tcp::socket socket(io_);
   boost::system::error_code error;
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -55,7 +55,7 @@
   bool answered() const;  // none waits for an answer to what was read
 
   // Whether there is a place, and as `has_descriptor` says a descriptor, for one more connection of the
-  // process before. Where there is none, room is being made, and until this is true no new connection is
+  // process before. Where there is none, room is being made, and for a moment no new connection is
   // accepted.
   bool has_room_for_inherited(bool has_descriptor);
   // A connection of the process before, with its state. Throws HandoverFrameInvalid where it is none.
@@ -70,6 +70,7 @@
   void accept_in(std::chrono::microseconds pause);
   void accept_waiting();
   std::shared_ptr<Session> add(tcp::socket socket);
+  bool keeps_places() const;
   bool make_room(size_t max_sessions);
   void end_idle(Time now, bool pressed, size_t wanted, size_t& leaving);
   void close_lingering(Time now, size_t max_sessions);
@@ -84,7 +85,7 @@
   size_t max_sessions_;
   Submit submit_;
   bool accepting_ = false;
-  bool awaits_inherited_ = false;  // places are kept for connections of the process before
+  Time places_kept_until_ = 0;  // for connections of the process before; 0: none are kept
   bool finishing_ = false;
   bool reading_ = true;
   Time draining_since_ = 0;                    // 0: not draining
--- a/tests/relay/handover_frames_test.cpp
+++ b/tests/relay/handover_frames_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <random>
 
+#include "relay/clients.h"
 #include "relay/errors.h"
 #include "tests/support/handover_peers.h"
 #include "tests/support/inside.h"
@@ -190,6 +191,21 @@
   EXPECT_EQ(side_.program->wait(), 0);
 }
 
+// The process before may be gone, or have nothing more to give, while a place is kept for it.
+TEST(HandoverPlaces, AreGivenToNewClientsWhereNothingComes) {
+  boost::asio::io_context io;
+  relay::Clients clients(
+      io, {boost::asio::ip::address_v4::loopback(), 0}, 16,
+      [](const relay::SubmittedMessage&, const relay::Clients::Answer& answer) { answer("+OK"); });
+  EXPECT_FALSE(clients.has_room_for_inherited(false));
+  Socket client = Socket::connect(clients.address().port());
+  ASSERT_TRUE(client.send("*1\r\n$4\r\nPING\r\n"));
+  io.run_for(std::chrono::milliseconds(500));
+  std::string answer(7, '\0');
+  EXPECT_EQ(::recv(client.fd(), answer.data(), answer.size(), MSG_DONTWAIT), 7);
+  EXPECT_EQ(answer, "+PONG\r\n");
+}
+
 TEST(HandoverFrameTexts, AreReadAsTheyWereWritten) {
   const ClientFrame client = ClientFrame::parse(ClientFrame{1, 2, 3, true, "*1\r\n$4"}.text());
   EXPECT_EQ(client.since, 1);
