--- a/review/peers-2/peers.py
+++ b/review/peers-2/peers.py
@@ -204,7 +204,7 @@
         self.revision = 1
         self.entries = {}   # id: (revision, entry)
         self.watches = []   # [writer, last revision told]
-        self.opened = []    # when each watch was opened, seconds from the record's start
+        self.asked = []     # the revision from which each watch was asked for
         self.notices = []   # (time, id, state)
         self.port = free_port()
         self.server = None
@@ -256,7 +256,7 @@
                 elif "stream=1" in target:
                     index = int(target.split("index=")[1].split("&")[0])
                     self.record.note(f"watch   from revision {index}, the list is at {self.revision}")
-                    self.opened.append(self.record.now())
+                    self.asked.append(index)
                     writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                     watch = [writer, index]
                     self.tell(watch)
