review: a script that errs or is told to end exits with 2 and leaves no process

Cause: an error of a script itself ended it with 1, like a broken rule; SIGTERM left the relay running; ports came from the range that connections take. Change: any error gives 2, SIGTERM cleans up first, ports come from 20000 to 31999; case 7 begins no round after 95 s.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -74,6 +74,8 @@
 async def case(record, folder, cleanup):
     low, high = 0.0, LATEST  # the relay writes the change down in between, as its later watches tell
     for number in range(ROUNDS):
+        if record.now() > 95:
+            break
         delay = random.uniform(low, high)
         breaks, asked_from_new = await play_round(record, folder, number, delay)
         record.note(f"round   {number}: killed {1000 * delay:.1f} ms after the list, {len(breaks)} breaks")
--- a/review/peers-2/peers.py
+++ b/review/peers-2/peers.py
@@ -46,9 +46,17 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port that nobody uses, below those that connections take."""
+    for _ in range(1000):
+        port = random.randint(20000, 31999)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
+    raise CannotRun("no free port")
 
 
 def new_id():
@@ -453,6 +461,7 @@
 
     async def run(folder):
         cleanup = []
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(case(record, folder, cleanup), 110)
         finally:
@@ -470,7 +479,7 @@
             print(line)
         record.note(f"verdict {'broken' if breaks else 'held'}, TROUBLE={int(TROUBLE)}")
         status = 1 if breaks else 0
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:  # whatever it was: it says nothing of the rule
         record.note(f"verdict could not run: {error!r}")
         print(f"could not run: {error!r}")
     record.write(here)
