--- a/review/peers-2/peers.py
+++ b/review/peers-2/peers.py
@@ -53,10 +53,16 @@
             out.writelines(self.text(line) for line in sorted(self.lines, key=lambda line: line[0]))
 
 
+FIRST_PORT, PORTS = 20000, 12000  # below those that connections take
+next_port = random.randrange(PORTS)
+
+
 def free_port():
-    """A port that nobody uses, below those that connections take."""
+    """A port that nobody uses, and that this script was not given before."""
+    global next_port
     for _ in range(1000):
-        port = random.randint(20000, 31999)
+        port = FIRST_PORT + next_port
+        next_port = (next_port + 1) % PORTS
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
