relay, policy: keep waits and outages of routes of one endpoint

Cause: the policy passed one DestinationState to the relay, filled from the route that all endpoints of a destination share. Where endpoints are routes of their own there is none, so nothing was written down or restored.

Change: RetryBudgetState belongs to a destination, RouteState to a route of either form. The relay keeps that of an independent endpoint by the endpoint's id; the fact of a destination keeps its form, so that the version before starts on the folder. The policy follows the routes that changed, and no longer walks all destinations in each step.

--- a/include/turntally/actions.h
+++ b/include/turntally/actions.h
@@ -64,12 +64,18 @@
   std::string text;
 };
 
-// Replaces the persisted state of the destination.
-struct PersistDestinationState {
-  DestinationState state;
+// Replaces the persisted retry budget of the destination.
+struct PersistRetryBudget {
+  RetryBudgetState state;
+};
+
+// Replaces the persisted state of the route. An empty state removes it. The state of an independent endpoint
+// is also removed with its endpoint's entry in the list.
+struct PersistRoute {
+  RouteState state;
 };
 
 using Action = std::variant<SendAttempt, Reject, Fail, Cancel, SendHealthCheck, CloseIdleConnections,
-                            SetTimer, OpenListWatch, SendGossip, Log, PersistDestinationState>;
+                            SetTimer, OpenListWatch, SendGossip, Log, PersistRetryBudget, PersistRoute>;
 
 }  // namespace turntally::policy
--- a/include/turntally/events.h
+++ b/include/turntally/events.h
@@ -124,7 +124,7 @@
 };
 
 using Event = std::variant<EndpointListChanged, MessageArrived, AttemptEnded, HealthCheckEnded,
-                           MessageWithdrawn, TimerFired, GossipReceived, ShutdownScheduled, DestinationState,
-                           SettingsChanged, EndpointSuspended>;
+                           MessageWithdrawn, TimerFired, GossipReceived, ShutdownScheduled, RetryBudgetState,
+                           RouteState, SettingsChanged, EndpointSuspended>;
 
 }  // namespace turntally::policy
--- a/include/turntally/types.h
+++ b/include/turntally/types.h
@@ -15,17 +15,30 @@
   auto operator<=>(const Endpoint&) const = default;
 };
 
-// State of a destination that outlives a restart of the process. The policy emits it in
-// PersistDestinationState; after a restart the caller returns it as an event before any message. Outages of
-// independent endpoints are not included.
-struct DestinationState {
+// Retry budget of a destination, which outlives a restart of the process. The policy emits it in
+// PersistRetryBudget; after a restart the caller returns it as an event before any message.
+struct RetryBudgetState {
   int destination = 0;
-  int retry_token_tenths = 0;     // balance of the retry budget, in tenths of a token
+  int token_tenths = 0;  // balance, in tenths of a token
+  bool operator==(const RetryBudgetState&) const = default;
+};
+
+// State of a route, which outlives a restart of the process. A route is the unit that retry-after times and
+// outages apply to: all endpoints of a destination, or one independent endpoint. The policy emits the state
+// in PersistRoute; after a restart the caller returns it as an event, after the list of endpoints and before
+// any message.
+struct RouteState {
+  int destination = 0;
+  Endpoint endpoint;              // empty: all endpoints of the destination
   Time outage_since = 0;          // point in time; 0: no outage
   Time recovering_since = 0;      // point in time; 0: not recovering
   double rate_before_outage = 0;  // calls per second that this relay had served
   Time blocked_until = 0;         // end of a retry-after, a point in time; 0: none
-  bool operator==(const DestinationState&) const = default;
+
+  bool is_one_endpoint() const { return endpoint != Endpoint{}; }
+  // Returns whether there is nothing to keep: no outage and no retry-after.
+  bool is_empty() const { return outage_since == 0 && blocked_until == 0; }
+  bool operator==(const RouteState&) const = default;
 };
 
 }  // namespace turntally::policy
--- a/policy/attempt_outcome.cpp
+++ b/policy/attempt_outcome.cpp
@@ -31,6 +31,8 @@
   const EndedAttempt ended{event, attempt, endpoint, *endpoint.route, destination};
   const bool is_first_outcome = finish_attempt(ended);
   if (is_first_outcome) record_result(ended);
+  changed_retry_budgets_.insert(endpoint.info.destination);
+  route_persistence_.on_changed(endpoint.route->key);
   if (endpoint.calls == 0 && idle_connections_.connection_tables_full(destination.kind))
     close_idle_connections(endpoint);
   const auto message = messages_.find(event.id);
@@ -39,6 +41,7 @@
 
 void Policy::Impl::block_route(Route& route, Time until) {
   route.block_until(until);
+  route_persistence_.on_changed(route.key);
   Time& blocked_until = blocked_destinations_[route.key.destination];
   blocked_until = std::max(blocked_until, until);
 }
--- a/policy/destination.h
+++ b/policy/destination.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include "policy/concurrency_limit.h"
 #include "policy/latency_estimator.h"
@@ -15,7 +16,7 @@
   RetryBudget retry_budget;
   ConcurrencyLimit concurrency_limit;
   LatencyEstimator latency;
-  DestinationState persisted;  // as last passed to the caller
+  std::optional<int> persisted_token_tenths;  // of the retry budget, as last passed to the caller
 };
 
 class Destinations {
--- a/policy/dispatch.cpp
+++ b/policy/dispatch.cpp
@@ -261,7 +261,10 @@
   const double work = calls_.is_empty(call.number) ? 1 : kBatchedMessageWork;
   if (route.outage().in_outage()) route.slow_start.take(work);
   if (endpoint.slow_start.is_active()) endpoint.slow_start.take(work);
-  if (message.is_retry) destination.retry_budget.pay_retry();
+  if (message.is_retry) {
+    destination.retry_budget.pay_retry();
+    changed_retry_budgets_.insert(endpoint.info.destination);
+  }
   message.is_retry = false;
   message.in_flight = true;
   calls_.add_message(call.number);
--- a/policy/endpoint_directory.cpp
+++ b/policy/endpoint_directory.cpp
@@ -31,8 +31,9 @@
   }
 }
 
-void EndpointDirectory::remove_gone() {
-  std::erase_if(gone_, [this](const Endpoint& address) {
+std::vector<RouteKey> EndpointDirectory::remove_gone() {
+  std::vector<RouteKey> removed;
+  std::erase_if(gone_, [this, &removed](const Endpoint& address) {
     const EndpointState& endpoint = endpoints_.at(address);
     if (!endpoint.is_gone()) return true;
     if (endpoint.calls > 0 || endpoint.health_check_in_flight) return false;
@@ -40,10 +41,12 @@
     if (const RouteKey key = endpoint.route->key; key.is_one_endpoint()) {
       observed_routes_.erase(key);
       routes_.erase(key);
+      removed.push_back(key);
     }
     endpoints_.erase(address);
     return true;
   });
+  return removed;
 }
 
 EndpointState* EndpointDirectory::find(const Endpoint& endpoint) {
--- a/policy/endpoint_directory.h
+++ b/policy/endpoint_directory.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <map>
 #include <set>
+#include <vector>
 
 #include "policy/endpoint_state.h"
 
@@ -23,7 +24,9 @@
   // Adds an endpoint, or replaces its listed information.
   EndpointState& add_or_update(const EndpointInfo& info, const StepContext& context);
   void mark_all_gone();
-  void remove_gone();
+  // Removes the endpoints that are gone and have no calls, and returns the routes that were removed with
+  // them.
+  std::vector<RouteKey> remove_gone();
 
   EndpointState* find(const Endpoint& endpoint);
   EndpointState& at(const Endpoint& endpoint) { return endpoints_.at(endpoint); }
--- a/policy/policy.cpp
+++ b/policy/policy.cpp
@@ -32,14 +32,14 @@
   actions_ = &actions;
   for (const Event& event : events) std::visit([this](const auto& e) { handle(e); }, event);
   message_ordering_.release_expired(now, calls_);
-  directory_.remove_gone();
+  for (const RouteKey& key : directory_.remove_gone()) route_persistence_.on_changed(key);
   wake_at_ = kNever;
   open_list_watch();
   detect_outages();
   finish_undeliverable();
   dispatch();
   shed_load();
-  persist_destinations();
+  persist_state();
   schedule_timer();
 }
 
@@ -88,10 +88,7 @@
   Destination& destination = destinations_.get_or_add(info.destination);
   destination.kind = info.kind;
   destination.retry_budget.set_cap_for_batch(max_batch_size(settings_, info.kind));
-  if (is_new) {
-    destination.retry_budget.fill();
-    destination.persisted = {info.destination, destination.retry_budget.persisted_token_tenths()};
-  }
+  if (is_new) destination.retry_budget.fill();
   const bool weight_is_limit = settings_.weight_meaning != WeightMeaning::kNone && info.weight > 0;
   if (weight_is_limit && endpoint.is_ready())
     endpoint.route->rate_limiter.on_listed_limit(info.weight, context());
@@ -118,12 +115,18 @@
   endpoint->route->trial_calls.on_health_check_ended(event.ok);
 }
 
-void Policy::Impl::handle(const DestinationState& event) {
+void Policy::Impl::handle(const RetryBudgetState& event) {
   Destination& destination = destinations_.get_or_add(event.destination);
-  destination.retry_budget.restore(event.retry_token_tenths);
-  destination.persisted = event;
-  if (event.outage_since == 0 && event.blocked_until == 0) return;
-  Route& route = directory_.get_or_add_route({event.destination, Endpoint{}});
+  destination.retry_budget.restore(event.token_tenths);
+  destination.persisted_token_tenths = event.token_tenths;
+  changed_retry_budgets_.insert(event.destination);
+}
+
+void Policy::Impl::handle(const RouteState& event) {
+  route_persistence_.on_restored(event);
+  const bool is_gone = event.is_one_endpoint() && directory_.find(event.endpoint) == nullptr;
+  if (event.is_empty() || is_gone) return;
+  Route& route = directory_.get_or_add_route({event.destination, event.endpoint});
   route.restore(event, now_);
   block_route(route, event.blocked_until);
   directory_.observe(route);
@@ -154,20 +157,32 @@
     Route& route = *entry.second;
     const bool has_failures = route.outage_detector().has_failures();
     const bool no_endpoint_ready = has_failures && directory_.count_ready(route) == 0;
-    return !route.detect_outage(overdue[&route], no_endpoint_ready, context(), *actions_);
+    const bool was_in_outage = route.outage().in_outage();
+    const bool keep_observing = route.detect_outage(overdue[&route], no_endpoint_ready, context(), *actions_);
+    if (route.outage().in_outage() != was_in_outage) route_persistence_.on_changed(route.key);
+    return !keep_observing;
   });
 }
 
-void Policy::Impl::persist_destinations() {
-  for (auto& [number, destination] : destinations_.all()) {
-    DestinationState state;
-    if (const Route* route = directory_.find_route({number, Endpoint{}})) route->persist_to(state, now_);
-    state.destination = number;
-    state.retry_token_tenths = destination.retry_budget.persisted_token_tenths();
-    if (state == destination.persisted) continue;
-    destination.persisted = state;
-    actions_->push_back(PersistDestinationState{state});
+void Policy::Impl::persist_state() {
+  for (const RouteState& state : route_persistence_.take_changed(now_, directory_)) {
+    // The caller keeps a shared route beside the balance of its destination.
+    if (!state.is_one_endpoint()) persist_retry_budget(state.destination, true);
+    actions_->push_back(PersistRoute{state});
   }
+  for (const int number : std::exchange(changed_retry_budgets_, {})) persist_retry_budget(number, false);
+}
+
+// Persists the balance unless the caller has it. A full one, which a new destination has, only if it
+// `is_needed`.
+void Policy::Impl::persist_retry_budget(int number, bool is_needed) {
+  Destination& destination = destinations_.get_or_add(number);
+  std::optional<int>& persisted = destination.persisted_token_tenths;
+  const int token_tenths = destination.retry_budget.persisted_token_tenths();
+  const bool is_new_and_full = !persisted && destination.retry_budget.is_full();
+  if (persisted == token_tenths || (is_new_and_full && !is_needed)) return;
+  persisted = token_tenths;
+  actions_->push_back(PersistRetryBudget{{number, token_tenths}});
 }
 
 void Policy::Impl::handle(const MessageArrived& event) {
--- a/policy/policy_impl.h
+++ b/policy/policy_impl.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "policy/call_timeout.h"
@@ -24,6 +25,7 @@
 #include "policy/message_ordering.h"
 #include "policy/message_priority.h"
 #include "policy/random.h"
+#include "policy/route_persistence.h"
 #include "policy/send_queue.h"
 #include "policy/step_context.h"
 #include "policy/tenant_quota.h"
@@ -80,7 +82,8 @@
   void handle(const TimerFired& event);
   void handle(const GossipReceived& event);
   void handle(const ShutdownScheduled& event);
-  void handle(const DestinationState& event);
+  void handle(const RetryBudgetState& event);
+  void handle(const RouteState& event);
   void handle(const SettingsChanged& event);
   void handle(const EndpointSuspended& event);
 
@@ -90,13 +93,14 @@
   void finish_undeliverable();
   void dispatch();
   void shed_load();
-  void persist_destinations();
+  void persist_state();
   void schedule_timer();
 
   // Settings, endpoints and messages; in policy.cpp.
   void apply_settings(Settings settings);
   void requeue_waiting_messages();
   void update_endpoint(const EndpointInfo& info);
+  void persist_retry_budget(int number, bool is_needed);
   void resume_call(Message& message);
 
   // The end of an attempt; in attempt_outcome.cpp.
@@ -148,7 +152,9 @@
   std::vector<Action>* actions_ = nullptr;
 
   EndpointDirectory directory_;
+  RoutePersistence route_persistence_;
   Destinations destinations_;
+  std::set<int> changed_retry_budgets_;  // destinations to check in persist_state()
   std::map<uint64_t, Message> messages_;
   WaitingMessages waiting_;                   // the messages that are not in flight
   std::map<int, Time> blocked_destinations_;  // latest end of a retry-after of the destination's routes
--- a/policy/retry_budget.h
+++ b/policy/retry_budget.h
@@ -17,6 +17,7 @@
   int persisted_token_tenths() const;
 
   void on_served();
+  bool is_full() const { return token_tenths_ >= cap_tenths_; }
   bool can_retry() const;
   void pay_retry();
 
--- a/policy/route.cpp
+++ b/policy/route.cpp
@@ -89,20 +89,23 @@
   return std::max(even_share, calls / (span + 1 / even_share));
 }
 
-void Route::restore(const DestinationState& state, Time now) {
+void Route::restore(const RouteState& state, Time now) {
   blocked_until_ = state.blocked_until;
   outage_detector_.restore({state.outage_since, state.recovering_since, state.rate_before_outage});
   slow_start.restore(now);
 }
 
-// Suspected outages are not persisted.
-void Route::persist_to(DestinationState& state, Time now) const {
+RouteState Route::persistent_state(Time now) const {
+  RouteState state;
+  state.destination = key.destination;
+  state.endpoint = key.endpoint;
   if (outage().in_outage() && !outage_detector_.is_suspicion_only()) {
     state.outage_since = outage().outage_since;
     state.recovering_since = outage().recovering_since;
     state.rate_before_outage = outage().rate_before_outage;
   }
   state.blocked_until = blocked_until_ > now ? blocked_until_ : 0;
+  return state;
 }
 
 void Route::begin_outage(const OutageDetector::Evidence& evidence, const StepContext& context,
--- a/policy/route.h
+++ b/policy/route.h
@@ -56,9 +56,9 @@
   // counts as one call, so it dominates for a relay that seldom calls.
   double own_rate(const StepContext& context) const;
 
-  void restore(const DestinationState& state, Time now);
-  // Writes the route's fields of `state`.
-  void persist_to(DestinationState& state, Time now) const;
+  void restore(const RouteState& state, Time now);
+  // Returns the state to persist, which leaves out a suspected outage and a retry-after that is over.
+  RouteState persistent_state(Time now) const;
 
   const OutageState& outage() const { return outage_detector_.state(); }
   const OutageDetector& outage_detector() const { return outage_detector_; }
--- a/relay/journal_facts.h
+++ b/relay/journal_facts.h
@@ -12,7 +12,9 @@
 inline const std::string kRemovedAt = "gone ";       // when it was removed from the list
 inline const std::string kSuspended = "suspended ";  // set while an operator has it suspended
 
-inline const std::string kDestination = "destination ";  // prefix, then its number: its DestinationState
+inline const std::string kDestination =
+    "destination ";                          // prefix, then its number: its retry budget and route
+inline const std::string kRoute = "route ";  // prefix, then an independent endpoint's id: its route
 inline const std::string kFencingToken =
     Journal::kSyncedFactPrefix;                           // prefix, then a lease: its highest token
 inline const std::string kListRevision = "revision";      // of the list
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -28,6 +28,7 @@
 #include "relay/message_ordering.h"
 #include "relay/metrics.h"
 #include "relay/pending_messages.h"
+#include "relay/persisted_state.h"
 #include "relay/route_waits.h"
 #include "relay/upstream.h"
 
@@ -112,7 +113,6 @@
   // Recovery from the journal: relay_recovery.cpp.
   void recover_endpoints();
   void recover_fact(const std::string& name, const nlohmann::json& value);
-  policy::DestinationState recovered_state(const std::string& name, const nlohmann::json& value) const;
   void recover_messages();
   void recover_ordering_holds(Recovery& recovery);
   void recover_final_answer(const JournaledMessage& entry);
@@ -122,7 +122,8 @@
   std::optional<policy::AttemptEnded> add_interrupted_call(policy::MessageArrived& arrival) const;
   void queue_arrivals(const std::vector<RecoveredMessage>& messages);
   int zone_of(const RecordedAttempt& attempt) const;
-  void persist_destination_state(const policy::DestinationState& state);
+  void recover_route(const std::string& endpoint_id, policy::RouteState state);
+  void record_route(const policy::RouteState& state);
 
   // Submission, delivery terms and ordering of messages: relay_submission.cpp.
   void accept_message(SubmittedMessage message, Clients::AnswerHandler answer);
@@ -195,6 +196,7 @@
   Descriptor inherited_listener_;  // the predecessor's, until clients_ uses it
   Journal journal_;
   DurableClock clock_;  // for all times in the journal
+  PersistedState persisted_state_;
   DeliveryTermsStore delivery_terms_;
   MessageOrdering ordering_;
   FencingTokens fencing_tokens_;
--- a/relay/relay_dispatch.cpp
+++ b/relay/relay_dispatch.cpp
@@ -85,8 +85,10 @@
     upstream_.close_idle(close->endpoint);
   } else if (const auto* timer = std::get_if<policy::SetTimer>(&action)) {
     wake_at_ = timer->at;  // each step that needs a timer sets it, so only the latest counts
-  } else if (const auto* persist_state = std::get_if<policy::PersistDestinationState>(&action)) {
-    persist_destination_state(persist_state->state);
+  } else if (const auto* persist_budget = std::get_if<policy::PersistRetryBudget>(&action)) {
+    persisted_state_.record(persist_budget->state);
+  } else if (const auto* persist_route = std::get_if<policy::PersistRoute>(&action)) {
+    record_route(persist_route->state);
   } else if (const auto* log = std::get_if<policy::Log>(&action)) {
     net::log::info("decision", "text", log->text);
   }
--- a/relay/relay_endpoints.cpp
+++ b/relay/relay_endpoints.cpp
@@ -65,6 +65,7 @@
   journal_.record_fact(fact::kEndpoint + listed.id, gone ? "" : listed.json_text);
   journal_.record_fact(fact::kRemovedAt + listed.id,
                        gone ? std::to_string(directory_.removal_times().at(listed.id)) : "");
+  if (gone) persisted_state_.forget_endpoint(listed.id);
 }
 
 // If the endpoint has been removed from the list, closes its idle connections, which must not be used for
--- a/relay/relay_recovery.cpp
+++ b/relay/relay_recovery.cpp
@@ -7,29 +7,16 @@
 #include "relay/relay.h"
 
 namespace turntally::relay {
-namespace {
-
-// JSON keys of a destination's state in the journal.
-constexpr const char* kRetryTokensKey = "tokens";
-constexpr const char* kOutageSinceKey = "out_since";
-constexpr const char* kRecoveringSinceKey = "back_since";
-constexpr const char* kRateBeforeOutageKey = "base";
-constexpr const char* kWaitUntilKey = "wait_until";  // missing in older records
-
-}  // namespace
-
 // Recovers the endpoints and destinations that the previous process knew. The configuration's list alone may
 // be older: endpoints that were draining would get new calls again.
 void Relay::recover_endpoints() {
   EndpointList list;
   list.complete = true;
-  std::vector<policy::DestinationState> states;
   nlohmann::json members = nlohmann::json::array();
   for (const auto& [name, text] : journal_.facts()) {
     const nlohmann::json value = nlohmann::json::parse(text);
     if (name == fact::kListRevision) list.revision = value.get<int64_t>();
     if (name.starts_with(fact::kEndpoint)) members.push_back(value);
-    if (name.starts_with(fact::kDestination)) states.push_back(recovered_state(name, value));
     recover_fact(name, value);
   }
   const bool from_registry = !list_identity_.empty();
@@ -43,7 +30,9 @@
       parse_list({{"revision", list.revision}, {"complete", true}, {"members", members}}, config_.names)
           .endpoints;
   if (!list.endpoints.empty()) on_endpoint_list(list);
-  for (const policy::DestinationState& state : states) queue_event(state);
+  for (const policy::RetryBudgetState& budget : persisted_state_.recovered_budgets()) queue_event(budget);
+  for (const auto& [endpoint_id, route] : persisted_state_.recovered_routes())
+    recover_route(endpoint_id, route);
 }
 
 void Relay::recover_fact(const std::string& name, const nlohmann::json& value) {
@@ -58,27 +47,24 @@
     fencing_tokens_.restore(name.substr(fact::kFencingToken.size()), value.get<Token>());
 }
 
-policy::DestinationState Relay::recovered_state(const std::string& name, const nlohmann::json& value) const {
-  const auto steady = [this](Time time) { return time == 0 ? 0 : clock_.to_steady(time); };
-  policy::DestinationState state;
-  state.destination = std::stoi(name.substr(fact::kDestination.size()));
-  state.retry_token_tenths = value.at(kRetryTokensKey).get<int>();
-  state.outage_since = steady(value.at(kOutageSinceKey).get<Time>());
-  state.recovering_since = steady(value.at(kRecoveringSinceKey).get<Time>());
-  state.rate_before_outage = value.at(kRateBeforeOutageKey).get<double>();
-  // A restart ends a wait, a handover does not.
-  if (handover_.has_predecessor()) state.blocked_until = steady(value.value(kWaitUntilKey, Time{0}));
-  return state;
+// Passes a route's state to the policy. A restart ends a wait, a handover does not.
+void Relay::recover_route(const std::string& endpoint_id, policy::RouteState state) {
+  if (!endpoint_id.empty()) {
+    const ListedEndpoint* listed = directory_.find(directory_.handle(endpoint_id));
+    if (listed == nullptr || listed->info.destination != state.destination)
+      return persisted_state_.forget_endpoint(endpoint_id);
+    state.endpoint = listed->info.endpoint;
+  }
+  if (!handover_.has_predecessor()) state.blocked_until = 0;
+  queue_event(state);
 }
 
-void Relay::persist_destination_state(const policy::DestinationState& state) {
-  const auto durable = [this](Time time) { return time == 0 ? 0 : clock_.from_steady(time); };
-  const nlohmann::json value = {{kRetryTokensKey, state.retry_token_tenths},
-                                {kOutageSinceKey, durable(state.outage_since)},
-                                {kRecoveringSinceKey, durable(state.recovering_since)},
-                                {kRateBeforeOutageKey, state.rate_before_outage},
-                                {kWaitUntilKey, durable(state.blocked_until)}};
-  journal_.record_fact(fact::kDestination + std::to_string(state.destination), value.dump());
+// Records the state of a route, unless it belongs to an endpoint that has left the list.
+void Relay::record_route(const policy::RouteState& state) {
+  if (!state.is_one_endpoint()) return persisted_state_.record(state, "");
+  const ListedEndpoint* listed = directory_.find(state.endpoint);
+  if (listed != nullptr && listed->info.listing != policy::Listing::kGone)
+    persisted_state_.record(state, listed->id);
 }
 
 // Recovers the messages of the previous process and passes them to the policy, which decides on them like on
--- a/sim/wire.cpp
+++ b/sim/wire.cpp
@@ -355,7 +355,8 @@
     put(out, kAllPeers);
     put_text(out, a.bytes);
   }
-  void operator()(const policy::PersistDestinationState&) const {}
+  void operator()(const policy::PersistRetryBudget&) const {}
+  void operator()(const policy::PersistRoute&) const {}
   void operator()(const policy::Log& a) const {
     put_code(out, ActionCode::kLog);
     put_text(out, a.text);
@@ -405,13 +406,13 @@
 
 void Encoder::add_actions(int instance, std::span<const policy::Action> actions) {
   const auto is_persistence = [](const policy::Action& action) {
-    return std::holds_alternative<policy::PersistDestinationState>(action);
+    return std::holds_alternative<policy::PersistRetryBudget>(action) ||
+           std::holds_alternative<policy::PersistRoute>(action);
   };
   if (std::all_of(actions.begin(), actions.end(), is_persistence)) return;
   begin_instance(instance);
   for (const policy::Action& action : actions) {
-    if (std::holds_alternative<policy::PersistDestinationState>(action))
-      continue;  // a simulated relay has no persistent state
+    if (is_persistence(action)) continue;  // a simulated relay has no persistent state
     std::visit(ActionWriter{body_}, action);
     ++records_;
   }
--- a/tests/policy/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -963,7 +963,8 @@
 // that is down or in slow start.
 TEST(Restart, RestoresOutagesAndRetryBudgets) {
   const Settings settings = default_settings();
-  DestinationState last;
+  RetryBudgetState budget;
+  RouteState route;
   Policy before(settings, 1);
   std::vector<Action> actions;
   before.step(0, std::vector<Event>{endpoint_list({endpoint_info(1)})}, actions);
@@ -976,10 +977,10 @@
     for (const SendAttempt& send : actions_of<SendAttempt>(actions))
       failed.push_back(attempt_ended(send, 0, Outcome::kConnectFailed));
     before.step(now + 1000, failed, actions);
-    for (const PersistDestinationState& persist : actions_of<PersistDestinationState>(actions))
-      last = persist.state;
+    for (const PersistRetryBudget& persist : actions_of<PersistRetryBudget>(actions)) budget = persist.state;
+    for (const PersistRoute& persist : actions_of<PersistRoute>(actions)) route = persist.state;
   }
-  EXPECT_NE(last.outage_since, 0);
+  EXPECT_NE(route.outage_since, 0);
   const auto sends = [&](std::vector<Event> events) {
     Policy after(settings, 2);
     events.insert(events.begin(), endpoint_list({endpoint_info(1)}));
@@ -989,7 +990,7 @@
     return actions_of<SendAttempt>(actions).size();
   };
   EXPECT_EQ(sends({}), 4u);
-  EXPECT_LE(sends({last}), 1u);
+  EXPECT_LE(sends({budget, route}), 1u);
 }
 
 TEST(Restart, RestoresEmptyRetryBudget) {
@@ -1001,7 +1002,7 @@
   arrival.deadline = 20 * kSecond;
   arrival.attempts = 1;
   std::vector<Action> actions;
-  policy.step(0, std::vector<Event>{endpoint_list({endpoint_info(1)}), DestinationState{1, 0}, arrival},
+  policy.step(0, std::vector<Event>{endpoint_list({endpoint_info(1)}), RetryBudgetState{1, 0}, arrival},
               actions);
   EXPECT_TRUE(actions_of<SendAttempt>(actions).empty());
 }
@@ -1220,7 +1221,7 @@
   CheckedPolicy before(settings);
   const auto sends =
       actions_of<SendAttempt>(before.step(0, {endpoint_list({endpoint_info(1)}), before.message(1, 0)}));
-  const auto persisted = actions_of<PersistDestinationState>(
+  const auto persisted = actions_of<PersistRoute>(
       before.step(1000, {attempt_ended(sends.at(0), 0, Outcome::kRejected, 1000, kSecond)}));
   ASSERT_EQ(persisted.size(), 1u);
   CheckedPolicy after(settings);
--- a/tests/policy/slow_start_budget_test.cpp
+++ b/tests/policy/slow_start_budget_test.cpp
@@ -95,7 +95,8 @@
   struct RelayState {
     std::unique_ptr<Policy> policy;
     std::multimap<Time, Event> events;
-    std::map<int, DestinationState> persisted;
+    std::map<int, RetryBudgetState> budgets;
+    std::map<int, RouteState> routes;
     std::map<uint64_t, int> attempts;
     Time wake_at = 0;
     Time next_arrival = 0;  // when the next message arrives
@@ -120,7 +121,8 @@
     relay.events.clear();
     relay.attempts.clear();
     post(now, i, list(Listing::kReady));
-    for (const auto& [destination, persisted] : relay.persisted) post(now, i, persisted);
+    for (const auto& [destination, budget] : relay.budgets) post(now, i, budget);
+    for (const auto& [destination, route] : relay.routes) post(now, i, route);
   }
 
   Settings settings_of(int i) const {
@@ -174,8 +176,10 @@
       } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
         relay.wake_at = timer->at;
         queue_.emplace(timer->at, i);
-      } else if (const auto* persist = std::get_if<PersistDestinationState>(&action)) {
-        relay.persisted[persist->state.destination] = persist->state;
+      } else if (const auto* persist_budget = std::get_if<PersistRetryBudget>(&action)) {
+        relay.budgets[persist_budget->state.destination] = persist_budget->state;
+      } else if (const auto* persist_route = std::get_if<PersistRoute>(&action)) {
+        relay.routes[persist_route->state.destination] = persist_route->state;
       }
     }
   }
--- a/tests/support/peers.cpp
+++ b/tests/support/peers.cpp
@@ -132,6 +132,11 @@
   }
 }
 
+bool Host::has_another_caller(int timeout_ms) const {
+  pollfd waiting{listener_.fd(), POLLIN, 0};
+  return ::poll(&waiting, 1, timeout_ms) > 0;
+}
+
 void Host::answer(const std::string& status, const std::string& headers) {
   ASSERT_TRUE(connection_.send("HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: 2\r\n\r\nhi"));
 }
--- a/tests/support/peers.h
+++ b/tests/support/peers.h
@@ -73,6 +73,8 @@
   void raw(const std::string& bytes) { ASSERT_TRUE(connection_.send(bytes)); }
   // Accepts another connection, while the call on the first waits.
   Socket accept_another() { return listener_.accept(); }
+  // Returns whether another connection arrives within the time, while the call on the first waits.
+  bool has_another_caller(int timeout_ms) const;
   bool await_close() { return connection_.ended(); }  // waits until the caller has closed
   void drop() { connection_.close(); }
   void reset() { connection_.reset(); }
