tests: the agent's first call waits for the system's timer

It polled the event loop once behind a timer of 0 ms; the kernel's timerfd may report the expiry some microseconds later, and the poll then finds nothing to do.

The test now waits up to 5 ms for the call of each of its 20 seeds.

--- a/tests/relay/discovery_test.cpp
+++ b/tests/relay/discovery_test.cpp
@@ -365,6 +365,8 @@
   EXPECT_TRUE(turn.io.stopped());
 }
 
+constexpr std::chrono::milliseconds kAtOnce{5};  // a drawn delay is longer for most seeds
+
 // If lists are pushed, what the agent has counts as known from the start.
 TEST(DiscoveryWatch, CallsOwnAgentAtOnce) {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
@@ -373,7 +375,7 @@
     const DiscoveryWatch watch(
         io, net::parse_address("127.0.0.1:9"), ListNames{}, [&] { return ++calls; }, [](const auto&) {},
         [] {}, DiscoveryWatch::CallPacing{300, true, seed});
-    io.poll();
+    io.run_one_for(kAtOnce);  // the system may deliver a timer that has expired a moment later
     EXPECT_EQ(calls, 1) << seed;
   }
 }
