relay: write a change of the list in one write, its revision last

Cause: on_endpoint_list wrote the revision first and each entry behind it. The next process asked for what had changed since a revision whose entries it did not have. An identity came ahead of its entries in the same way, and destinations behind the entries that name them.

A list goes down as destinations, entries, removals, identity, revision; a change of the identity first takes the old revision away. So any prefix asks from a revision whose entries it has, or from none.

--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -223,11 +223,16 @@
   facts_[name] = value;
 }
 
-void Journal::record_fact(const std::string& name, const std::string& value) {
-  const auto old = facts_.find(name);
-  if (value == (old == facts_.end() ? "" : old->second)) return;
-  set_fact(name, value);
-  write(framed(RecordWriter(kFact, name).text(value).payload()));
+void Journal::record_facts(const std::vector<Fact>& facts) {
+  std::string records;
+  for (const auto& [name, value] : facts) {
+    const auto old = facts_.find(name);
+    if (value == (old == facts_.end() ? "" : old->second)) continue;
+    set_fact(name, value);
+    records += framed(RecordWriter(kFact, name).text(value).payload());
+  }
+  // All facts are in memory before the first is written, so that a compaction never writes a part of them.
+  if (!records.empty()) write(records);
 }
 
 bool Journal::record_synced_fact(const std::string& name, const std::string& value) {
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -30,6 +30,12 @@
   int64_t terms_number = 0;  // number of its DeliveryTerms; 0: not recorded
 };
 
+// A fact belongs to no message. It has one value, which a later record replaces; an empty value removes it.
+struct Fact {
+  std::string name;
+  std::string value;
+};
+
 // Owns the journal file of a state folder, and compacts it when it has grown too large.
 class Journal {
  public:
@@ -59,9 +65,10 @@
   void record_acknowledged(const std::string& id);
   // Writes what could not be written earlier, on a full disk. Returns false if there is still no room.
   bool write_pending() { return !incomplete_ || compact(); }
-  // Records a fact, which belongs to no message. Replaces the value of the same name; an empty value removes
-  // the fact.
-  void record_fact(const std::string& name, const std::string& value);
+  void record_fact(const std::string& name, const std::string& value) { record_facts({{name, value}}); }
+  // Records facts that belong together. A process that is killed meanwhile leaves the first of them, up to
+  // any one, so a fact that relies on others must come behind them. A full disk leaves all or none.
+  void record_facts(const std::vector<Fact>& facts);
   // Records a fact under kSyncedFactPrefix + name that also outlasts a crash of the machine. Returns true
   // once it is on the disk. Until then it must not be relied on; a later call with the same value tries
   // again.
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -105,7 +105,8 @@
   void follow_registry();
   void on_registry_list(const nlohmann::json& line);
   void on_endpoint_list(const EndpointList& list);
-  void record_endpoint(const ListedEndpoint& listed);
+  void record_list(const std::vector<policy::EndpointInfo>& changed, const std::vector<std::string>& pruned);
+  void append_endpoint_facts(const Endpoint& endpoint, std::vector<Fact>& facts) const;
   void forget_if_removed(const Endpoint& endpoint);
   void on_endpoint_idle(const Endpoint& endpoint);
   Route route_of(const policy::EndpointInfo& endpoint) const;
--- a/relay/relay_endpoints.cpp
+++ b/relay/relay_endpoints.cpp
@@ -31,7 +31,6 @@
   if (identity != list_identity_) {
     net::log::info("registry", "identity", identity, "revision", list.revision);
     list_identity_ = identity;
-    journal_.record_fact(fact::kListIdentity, nlohmann::json(identity).dump());
     directory_.reset_revision();
   }
   on_endpoint_list(list);
@@ -39,33 +38,52 @@
 
 void Relay::on_endpoint_list(const EndpointList& list) {
   const Time now = clock_.now();
-  const auto destinations = directory_.destinations().size();
   auto change = directory_.apply(list, now);
-  journal_.record_fact(fact::kListRevision, std::to_string(directory_.revision()));
-  for (const std::string& id : directory_.prune_removed(now)) journal_.record_fact(fact::kRemovedAt + id, "");
+  const std::vector<std::string> pruned = directory_.prune_removed(now);
+  record_list(change ? *change->endpoints : std::vector<policy::EndpointInfo>(), pruned);
   if (!change) return;
   const auto endpoints = change->endpoints;
   net::log::debug("list", "revision", directory_.revision(), "changed", endpoints->size());
   queue_event(std::move(*change));
   for (const policy::EndpointInfo& info : *endpoints) {
     const ListedEndpoint* listed = directory_.find(info.endpoint);
-    if (listed != nullptr) record_endpoint(*listed);
     if (listed != nullptr && directory_.is_suspended(listed->id))
       queue_event(policy::EndpointSuspended{info.endpoint, true});
     forget_if_removed(info.endpoint);
   }
-  if (directory_.destinations().size() != destinations) {
-    journal_.record_fact(fact::kDestinations, nlohmann::json(directory_.destinations()).dump());
-  }
   route_waits_.forget_ended(steady_now());
 }
 
-void Relay::record_endpoint(const ListedEndpoint& listed) {
-  const bool gone = listed.info.listing == policy::Listing::kGone;
-  journal_.record_fact(fact::kEndpoint + listed.id, gone ? "" : listed.json_text);
-  journal_.record_fact(fact::kRemovedAt + listed.id,
-                       gone ? std::to_string(directory_.removal_times().at(listed.id)) : "");
-  if (gone) persisted_state_.forget_endpoint(listed.id);
+// Records a change of the list. The next process asks for what has changed since the revision, which
+// therefore comes behind the entries; and a revision counts only for the list of its identity.
+void Relay::record_list(const std::vector<policy::EndpointInfo>& changed,
+                        const std::vector<std::string>& pruned) {
+  std::vector<Fact> facts;
+  const std::string identity = list_identity_.empty() ? "" : nlohmann::json(list_identity_).dump();
+  const auto recorded_identity = journal_.facts().find(fact::kListIdentity);
+  if (identity != (recorded_identity == journal_.facts().end() ? "" : recorded_identity->second))
+    facts.push_back({fact::kListRevision, ""});
+  facts.push_back({fact::kDestinations, nlohmann::json(directory_.destinations()).dump()});
+  for (const policy::EndpointInfo& info : changed) append_endpoint_facts(info.endpoint, facts);
+  for (const std::string& id : pruned) facts.push_back({fact::kRemovedAt + id, ""});
+  facts.push_back({fact::kListIdentity, identity});
+  facts.push_back({fact::kListRevision, std::to_string(directory_.revision())});
+  journal_.record_facts(facts);
+}
+
+// Of an endpoint there is always its entry or the time of its removal.
+void Relay::append_endpoint_facts(const Endpoint& endpoint, std::vector<Fact>& facts) const {
+  const ListedEndpoint* listed = directory_.find(endpoint);
+  if (listed == nullptr) return;
+  const std::string& id = listed->id;
+  if (listed->info.listing == policy::Listing::kGone) {
+    facts.push_back({fact::kRemovedAt + id, std::to_string(directory_.removal_times().at(id))});
+    facts.push_back({fact::kEndpoint + id, ""});
+    facts.push_back({fact::kRoute + id, ""});
+  } else {
+    facts.push_back({fact::kEndpoint + id, listed->json_text});
+    facts.push_back({fact::kRemovedAt + id, ""});
+  }
 }
 
 // If the endpoint has been removed from the list, closes its idle connections, which must not be used for
--- a/relay/relay_recovery.cpp
+++ b/relay/relay_recovery.cpp
@@ -24,7 +24,7 @@
       config_.list_follower.has_value()) {  // the other source's list; its revisions do not compare
     list.revision = 0;
     list_identity_.clear();
-    journal_.record_fact(fact::kListIdentity, "");
+    journal_.record_facts({{fact::kListRevision, ""}, {fact::kListIdentity, ""}});
   }
   list.endpoints =
       parse_list({{"revision", list.revision}, {"complete", true}, {"members", members}}, config_.names)
