relay: take nothing behind discovery's answer for the next one

What callers saw: where discovery answered notices with 204 and sent a second copy straight after, some messages never got their final answer.

Cause: NoticeSender::Connection kept its read buffer and its connection between requests, so the copy was taken for the yes to the next batch, which was refused or not yet read; its notices were forgotten.

Change: a connection that brought anything beyond an answer is given up; it is used again 2 ms after the last answer at the soonest, and only with nothing to read on it. Calls to endpoints did so before; the check moves to relay/kept_connection.h.

--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "net/log.h"
+#include "relay/kept_connection.h"
 
 namespace turntally::relay {
 namespace {
@@ -162,6 +163,9 @@
   }
 
   bool is_reusable() const { return is_reusable_; }
+  // Whether the connection has brought nothing since the last response.
+  bool is_clean() { return !stream_.is_open() || has_no_input(stream_); }
+  Time answered_at() const { return answered_at_; }
   bool timed_out() const { return timed_out_; }  // the request was not answered in time
 
   void close() {
@@ -177,7 +181,10 @@
       self->response_ = {};
       http::async_read(self->stream_, self->buffer_, self->response_,
                        [self](const Error& read_error, size_t) {
-                         self->is_reusable_ = !read_error && self->response_.keep_alive();
+                         // A byte beyond the response would be taken for the response to the next request.
+                         const bool brought_more = self->buffer_.size() > 0;
+                         self->is_reusable_ = !read_error && self->response_.keep_alive() && !brought_more;
+                         self->answered_at_ = steady_now();
                          self->end(!read_error && self->response_.result_int() == 204);
                        });
     });
@@ -197,6 +204,7 @@
   http::response<http::string_body> response_;
   bool is_reusable_ = false;
   bool timed_out_ = false;
+  Time answered_at_ = 0;  // steady clock; 0: no response yet
 };
 
 NoticeSender::NoticeSender(boost::asio::io_context& io, const tcp::endpoint& address, SentHandler sent)
@@ -235,7 +243,7 @@
 }
 
 void NoticeSender::send_next() {
-  if (in_flight_count_ > 0 || queue_.empty()) return;
+  if (in_flight_count_ > 0 || queue_.empty() || !may_reuse_connection()) return;
   std::string body;
   for (; in_flight_count_ < std::min(queue_.size(), kMaxNoticesPerRequest); ++in_flight_count_) {
     const FinalAnswer& notice = queue_[in_flight_count_];
@@ -247,6 +255,26 @@
   connection_->send(body);
 }
 
+// Returns whether the connection may be used now, or a new one if there is none. What discovery sends beyond
+// a response must not be taken for the response to the next request: after a short time it has arrived, and
+// the connection is given up for it.
+bool NoticeSender::may_reuse_connection() {
+  if (!connection_) return true;
+  const Time reusable_at = connection_->answered_at() + kReuseDelay;
+  if (steady_now() < reusable_at) {
+    retry_timer_.expires_at(net::at_time(reusable_at));
+    retry_timer_.async_wait([this](const Error& error) {
+      if (!error) send_next();
+    });
+    return false;
+  }
+  if (!connection_->is_clean()) {
+    connection_->close();
+    connection_.reset();
+  }
+  return true;
+}
+
 void NoticeSender::on_response(bool accepted) {
   const bool timed_out = connection_->timed_out();
   if (!connection_->is_reusable()) {
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -93,6 +93,7 @@
   class Connection;
 
   void send_next();
+  bool may_reuse_connection();
   void on_response(bool accepted);
 
   boost::asio::io_context& io_;
--- /dev/null
+++ b/relay/kept_connection.h
@@ -0,0 +1,23 @@
+// Connections that are kept open after a response, for the next request.
+#pragma once
+
+#include "net/clock.h"
+#include "net/stream.h"
+
+namespace turntally::relay {
+
+// What a peer sends beyond its response arrives within this time. A request that is sent earlier could take
+// it for its own response.
+constexpr net::Time kReuseDelay = 2 * 1000;
+
+// What there is to read on a connection on which nothing is expected.
+enum class UnexpectedInput {
+  kNone,
+  kBytes,
+  kEnd  // the peer has closed the connection, or it has failed
+};
+UnexpectedInput unexpected_input(net::Stream& stream);
+
+inline bool has_no_input(net::Stream& stream) { return unexpected_input(stream) == UnexpectedInput::kNone; }
+
+}  // namespace turntally::relay
--- a/relay/upstream_exchange.cpp
+++ b/relay/upstream_exchange.cpp
@@ -19,8 +19,6 @@
 
 // A response that has begun is complete within this time or never.
 constexpr Time kMaxResponseTime = 300 * 1000;
-// Data that an endpoint sends after a response arrives within this time.
-constexpr Time kReuseDelay = 2 * 1000;
 constexpr Time kMaxRetryAfter = 3600 * kSecond;
 constexpr double kMaxReportedValue = 1e9;
 constexpr std::string_view kVersionPrefix = "HTTP/1.";
@@ -74,15 +72,6 @@
 
 }  // namespace
 
-bool has_no_input(net::Stream& stream) {
-  char byte = 0;
-  ssize_t byte_count = 0;
-  do {
-    byte_count = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  } while (byte_count < 0 && errno == EINTR);
-  return byte_count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 std::string batch_body_part(const AttemptRequest& call) {
   return call.call_id + " " + (call.idempotency_key.empty() ? "-" : call.idempotency_key) + " " +
          std::to_string(call.body.size()) + "\r\n" + call.body + "\r\n";
--- a/relay/upstream_exchange.h
+++ b/relay/upstream_exchange.h
@@ -12,14 +12,11 @@
 #include <vector>
 
 #include "net/stream.h"
+#include "relay/kept_connection.h"
 #include "relay/upstream.h"
 
 namespace turntally::relay {
 
-// Returns whether there is nothing to read on a connection on which nothing is expected. False if the peer
-// has closed it or has sent unexpected data.
-bool has_no_input(net::Stream& stream);
-
 // Owns its connection while it runs, and returns it to Upstream if it can be used again. Each attempt in it
 // ends once, through Upstream's handlers. Times are microseconds of the steady clock. Invariant: an attempt
 // of which a byte may have been written never ends with an outcome that says it did not run, unless the
--- a/tests/relay/notices_test.cpp
+++ b/tests/relay/notices_test.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "net/address.h"
 #include "relay/discovery.h"
@@ -42,5 +44,43 @@
   EXPECT_TRUE(notices.empty());
 }
 
+// A second copy of the answer to one batch was taken for the yes to the next one, which discovery had
+// refused: its messages never got a final answer. The same for noise, which must not be taken for a no
+// either.
+TEST(NoticeSender, TakesNothingBeyondAnAnswerForTheNextOne) {
+  const std::string kCopy = "HTTP/1.1 204 No Content\r\n\r\n";
+  const std::string kNoise[] = {kCopy, "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 20", "x",
+                                std::string(1'000'000, 'x')};
+  for (const milliseconds delay : {milliseconds(0), milliseconds(1), milliseconds(20)}) {
+    for (const std::string& noise : kNoise) {
+      SCOPED_TRACE(noise.substr(0, 12) + " after " + std::to_string(delay.count()) + " ms");
+      Discovery discovery;
+      discovery.bring_more(noise, delay);
+      boost::asio::io_context io;
+      std::vector<std::string> sent;
+      relay::NoticeSender notices(io, net::parse_address(discovery.address()),
+                                  [&](const std::string& id) { sent.push_back(id); });
+      const auto run_until_sent = [&](size_t count) {
+        io.restart();
+        while (sent.size() < count && io.run_one_for(milliseconds(kDeadlineMs)) > 0) continue;
+      };
+      notices.add({"first", false, 0});
+      run_until_sent(1);
+      if (delay > milliseconds(1)) std::this_thread::sleep_for(2 * delay);  // it arrives while nothing waits
+      discovery.refuse(1);
+      notices.add({"second", false, 0});
+      run_until_sent(2);
+      EXPECT_EQ(sent, (std::vector<std::string>{"first", "second"}));
+      EXPECT_EQ(discovery.refused(), 1);
+      EXPECT_EQ(discovery.notice().at("id"), "first");
+      if (discovery.has_notice()) {
+        EXPECT_EQ(discovery.notice().at("id"), "second");
+      } else {
+        ADD_FAILURE() << "discovery never took the second notice";
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace turntally::testing
--- a/tests/support/peers.cpp
+++ b/tests/support/peers.cpp
@@ -198,10 +198,25 @@
       }
     }
     changed_.notify_all();
-    connection.send("HTTP/1.1 204 No Content\r\n\r\n");
+    std::string answer = "HTTP/1.1 204 No Content\r\n\r\n";
+    std::unique_lock lock(mutex_);
+    const std::string extra = extra_bytes_;
+    const auto delay = extra_delay_;
+    lock.unlock();
+    if (delay.count() == 0) answer += extra;
+    connection.send(answer);
+    if (delay.count() == 0 || extra.empty()) continue;
+    std::this_thread::sleep_for(delay);
+    if (!connection.send(extra)) return;
   }
 }
 
+void Discovery::bring_more(std::string bytes, std::chrono::milliseconds delay) {
+  const std::lock_guard lock(mutex_);
+  extra_bytes_ = std::move(bytes);
+  extra_delay_ = delay;
+}
+
 void Discovery::tell(const nlohmann::json& list) { tell(list.dump()); }
 
 void Discovery::tell(const std::string& text) {
@@ -209,6 +224,11 @@
   lists_.push_back(text);
 }
 
+bool Discovery::has_notice() {
+  const std::lock_guard lock(mutex_);
+  return !notices_.empty();
+}
+
 nlohmann::json Discovery::notice() {
   std::unique_lock lock(mutex_);
   const auto there = [this] { return !notices_.empty(); };
--- a/tests/support/peers.h
+++ b/tests/support/peers.h
@@ -6,6 +6,7 @@
 #include <sys/types.h>
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <deque>
 #include <filesystem>
@@ -97,9 +98,12 @@
   void silence_open_watches() { hushed_ = watches_.load(); }  // open watches stay open but send nothing more
   int watches() const { return watches_; }                    // number of watches opened so far
   nlohmann::json notice();                     // the next notice that was answered 204; null at the deadline
+  bool has_notice();                           // whether notice() returns at once
   void refuse(int count) { refuse_ = count; }  // the next `count` posts are answered 503
   // The next `count` posts are read but not answered, with the connection open.
   void swallow(int count) { swallow_ = count; }
+  // From now on these bytes follow each 204, so long after it.
+  void bring_more(std::string bytes, std::chrono::milliseconds delay);
   void mute() { mute_ = true; }  // new watches get no answer, as while discovery is down
   int refused() const { return refused_; }
 
@@ -114,6 +118,8 @@
   std::atomic<int> refuse_ = 0;
   std::atomic<int> refused_ = 0;
   std::atomic<int> swallow_ = 0;
+  std::string extra_bytes_;
+  std::chrono::milliseconds extra_delay_{0};
   std::mutex mutex_;
   std::condition_variable changed_;
   std::vector<std::string> lists_;
