relay: acknowledge an answer at once where its connection is kept

What callers saw: an endpoint that sends a good answer and a second copy in a write of its own could have the copy taken for the answer to the next call on that connection: a message delivered that was refused or never read.

Cause: the peer's system holds a small write back until the one before is acknowledged, and ours delays the acknowledgement to let it go with the next request. So the look 2 ms after an answer found nothing, and the request itself set the copy free.

--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -185,6 +185,7 @@
                          const bool brought_more = self->buffer_.size() > 0;
                          self->is_reusable_ = !read_error && self->response_.keep_alive() && !brought_more;
                          self->answered_at_ = steady_now();
+                         if (self->is_reusable_) acknowledge_response(self->stream_);
                          self->end(!read_error && self->response_.result_int() == 204);
                        });
     });
--- a/relay/kept_connection.h
+++ b/relay/kept_connection.h
@@ -10,6 +10,11 @@
 // it for its own response.
 constexpr net::Time kReuseDelay = 2 * 1000;
 
+// Acknowledges the response at once. A peer that may not send a small write before its last one is
+// acknowledged would otherwise send it together with the next request, as the system delays the
+// acknowledgement for tens of milliseconds to let it go with data.
+void acknowledge_response(net::Stream& stream);
+
 // What there is to read on a connection on which nothing is expected.
 enum class UnexpectedInput {
   kNone,
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -110,6 +110,7 @@
   std::vector<Idle>& connections = idle_[endpoint];
   if (connections.size() >= kMaxIdlePerEndpoint || exchanges_.size() + idle_count_ >= limits_.max_connections)
     return;
+  acknowledge_response(stream);
   connections.push_back({std::move(stream), steady_now()});
   ++idle_count_;
 }
--- a/tests/relay/upstream_test.cpp
+++ b/tests/relay/upstream_test.cpp
@@ -11,6 +11,8 @@
 
 using testing::Host;
 
+constexpr Time kTimeout = 20'000'000;
+
 class UpstreamTest : public ::testing::Test {
  protected:
   // Makes one call and runs the event loop until it ends. `endpoint_part` runs in the endpoint's thread.
@@ -350,5 +352,50 @@
   EXPECT_EQ(call(answering("429", "Retry-After: 1e30\r\n")).retry_after, 3'600'000'000);
 }
 
+// What an endpoint sends beyond a good answer: the answer counts, and what follows is not taken for the
+// answer to the next call, which would end a message as delivered that the endpoint refuses.
+TEST_F(UpstreamTest, TakesNothingBeyondAnAnswerForTheNextOne) {
+  const std::string noise[] = {ok_response("hi"),
+                               ok_response(std::string(50'000, 'x')),
+                               "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n",
+                               "HTTP/1.1 20",
+                               "x",
+                               std::string(100'000, 'x')};
+  for (const bool same_segment : {true, false}) {
+    for (const std::string& extra : noise) {
+      SCOPED_TRACE(extra.substr(0, 12) + (same_segment ? " in the same segment" : " later"));
+      const policy::AttemptEnded served = call([&](Host& host) {
+        host.next();
+        host.raw(ok_response("hi") + (same_segment ? extra : ""));
+        if (same_segment) return;
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        host.send_unasked(extra);
+      });
+      EXPECT_EQ(served.outcome, policy::Outcome::kOk);
+      EXPECT_TRUE(served.final);
+      EXPECT_EQ(call(answering("429")).outcome, policy::Outcome::kRejected);
+    }
+  }
+}
+
+TEST_F(UpstreamTest, TakesNothingBeyondABatchAnswerForTheNextOne) {
+  const auto answer = [](const std::string& body, const std::string& extra) {
+    return [=](Host& host) {
+      host.next();
+      host.raw(ok_response(body) + extra);
+    };
+  };
+  const std::string done = "a done\r\nb done\r\nc done\r\n";
+  for (const std::string& extra : {ok_response(done), std::string("x"), std::string(100'000, 'x')}) {
+    for (const policy::AttemptEnded& end : call_batch(answer(done, extra), {kTimeout, kTimeout, kTimeout})) {
+      EXPECT_EQ(end.outcome, policy::Outcome::kOk);
+      EXPECT_TRUE(end.final);
+    }
+    const std::string busy = "a busy\r\nb busy\r\nc busy\r\n";
+    for (const policy::AttemptEnded& end : call_batch(answer(busy, ""), {kTimeout, kTimeout, kTimeout}))
+      EXPECT_EQ(end.outcome, policy::Outcome::kRejected);
+  }
+}
+
 }  // namespace
 }  // namespace turntally::relay
--- a/tests/support/peers.h
+++ b/tests/support/peers.h
@@ -71,6 +71,7 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
   Request next();  // the next call, on the open connection or on a new one
   void answer(const std::string& status, const std::string& headers = "");
+  void send_unasked(const std::string& bytes) { connection_.send(bytes); }  // may fail: the caller may close
   void raw(const std::string& bytes) { ASSERT_TRUE(connection_.send(bytes)); }
   // Accepts another connection, while the call on the first waits.
   Socket accept_another() { return listener_.accept(); }
@@ -104,6 +105,7 @@
   void swallow(int count) { swallow_ = count; }
   // From now on these bytes follow each 204, so long after it.
   void bring_more(std::string bytes, std::chrono::milliseconds delay);
+  bool has_brought_more();       // waits until the bytes behind an answer have been sent
   void mute() { mute_ = true; }  // new watches get no answer, as while discovery is down
   int refused() const { return refused_; }
 
@@ -119,6 +121,7 @@
   std::atomic<int> refused_ = 0;
   std::atomic<int> swallow_ = 0;
   std::string extra_bytes_;
+  bool has_sent_extra_ = false;
   std::chrono::milliseconds extra_delay_{0};
   std::mutex mutex_;
   std::condition_variable changed_;
