relay: pass on the list until the successor has a watch of its own

Cause: the old process closed its watch at the handover, and the new one draws up to 3.8 s before it opens its own, so as not to stand in a queue at discovery.

Change: the old process keeps the watch that it has, opens no other, and passes each list on as a frame, until the new one's watch is answered (4 s at most). Calls to discovery stay as they were.

--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -37,6 +37,14 @@
   return out;
 }
 
+std::string text_of(const EndpointList& list) {
+  nlohmann::json members = nlohmann::json::array();
+  for (const ListedEndpoint& listed : list.endpoints)
+    members.push_back(nlohmann::json::parse(listed.json_text));
+  return nlohmann::json{{"revision", list.revision}, {"complete", list.complete}, {"members", members}}
+      .dump();
+}
+
 // Returns whether an entry of an older list would undo a newer one. An id that has left the list comes back
 // only with a later start.
 bool EndpointTable::restores_older_state(const ListedEndpoint& listed) const {
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -43,6 +43,8 @@
 
 // Parses a list. Throws std::exception if the JSON is not a list.
 EndpointList parse_list(const nlohmann::json& json, const ListNames& names);
+// Returns the text that parse_list() reads as this list.
+std::string text_of(const EndpointList& list);
 
 // The endpoints that have been listed, by handle. A handle stands for an id rather than an address: a
 // machine that takes over another's address has an id of its own.
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -60,6 +60,11 @@
   retry_timer_.expires_at(std::chrono::steady_clock::time_point::max());
 }
 
+void DiscoveryWatch::stop_connecting() {
+  may_connect_ = false;
+  retry_timer_.expires_at(std::chrono::steady_clock::time_point::max());
+}
+
 void DiscoveryWatch::set_address(const tcp::endpoint& address) {
   if (address == address_) return;
   address_ = address;
@@ -80,6 +85,7 @@
 }
 
 void DiscoveryWatch::connect_after(milliseconds delay) {
+  if (!may_connect_) return;
   retry_timer_.expires_after(delay);
   retry_timer_.async_wait([this](const Error& error) {
     if (error || retry_timer_.expiry() > std::chrono::steady_clock::now()) return;  // closed, or set again
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -49,6 +49,9 @@
   void set_address(const tcp::endpoint& address);
   void set_names(ListNames names) { names_ = std::move(names); }
   void close();  // permanently
+  // Opens no further connection; the open ones are read to their end.
+  void stop_connecting();
+  bool is_open() const { return stream_ != nullptr; }
 
  private:
   void connect();
@@ -72,6 +75,7 @@
   // After a change of address: when the next call is made at the latest.
   std::optional<std::chrono::steady_clock::time_point> next_call_by_;
   bool has_received_list_ = false;
+  bool may_connect_ = true;
   std::vector<std::shared_ptr<net::JsonStream>> previous_streams_;  // to earlier addresses, until they end
 };
 
--- a/relay/handover.h
+++ b/relay/handover.h
@@ -23,7 +23,9 @@
     kListener = 'L',  // the listener for clients, if it is still open; the last frame that is waited for
     kClient = 'S',    // a client's connection
     kEnded = 'E',     // the end of a message's attempt in a call in flight
-    kCancel = 'X'     // from the successor: a call in flight is to be cancelled
+    kCancel = 'X',    // from the successor: a call in flight is to be cancelled
+    kList = 'I',      // a change of the list of endpoints that the predecessor's watch has brought
+    kWatching = 'W'   // from the successor: its own watch on the list is answered
   };
   Kind kind = kFolder;
   std::string text;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -86,7 +86,8 @@
     watch_.emplace(
         io, config.discovery, config.names,
         [this] { return directory_.endpoints().empty() ? -1 : directory_.revision(); },
-        [this](const EndpointList& list) { on_endpoint_list(list); }, [this] { start_serving(); },
+        [this](const EndpointList& list) { handed_over_ ? forward_list(list) : on_endpoint_list(list); },
+        [this] { on_watch_answered(); },
         DiscoveryWatch::CallPacing{config.settings.relay_count, !config.settings.list_needs_watch,
                                    config.seed});
   }
@@ -220,9 +221,16 @@
   return stopping_since_ == 0 ? std::numeric_limits<Time>::max() : stopping_since_ + kCallsEndAfterStop;
 }
 
+// Keeps this process's watch until the successor has its own, which relays of a large fleet open one after
+// another.
+bool Relay::is_watching_for_successor() const {
+  const bool successor_may_watch = successor_is_watching_ || steady_now() > watch_for_successor_until_;
+  return handover_.has_successor() && watch_ && watch_->is_open() && !successor_may_watch;
+}
+
 bool Relay::is_handover_complete() const {
-  return handed_over_ && upstream_.in_flight_count() == 0 && inherited_attempts_.empty() &&
-         (!clients_ || clients_->has_answered_all());
+  return handed_over_ && !is_watching_for_successor() && upstream_.in_flight_count() == 0 &&
+         inherited_attempts_.empty() && (!clients_ || clients_->has_answered_all());
 }
 
 bool Relay::is_idle() const {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -98,6 +98,7 @@
   Time call_end_deadline() const;
   void finish_clients();
   void poll_shutdown();
+  bool is_watching_for_successor() const;
   bool is_handover_complete() const;
   bool is_idle() const;
 
@@ -173,6 +174,9 @@
   void send_listener();
   void send_clients();
   void on_successor_frame(const std::optional<HandoverFrame>& frame);
+  void on_watch_answered();
+  void forward_list(const EndpointList& list);
+  void take_list(const HandoverFrame& frame);
   void forward_attempt_end(const std::string& id, const policy::AttemptEnded& end, bool call_started);
   void cancel_all_calls();
 
@@ -192,6 +196,8 @@
   std::unique_ptr<ControlServer> control_;
   Handover handover_;
   bool handed_over_ = false;  // the successor owns all but the calls in flight
+  bool successor_is_watching_ = false;
+  Time watch_for_successor_until_ = 0;
   std::map<std::string, InheritedAttempt> inherited_attempts_;  // by message id
   uint64_t inherited_calls_ = 0;
   Descriptor inherited_listener_;  // the predecessor's, until clients_ uses it
--- a/relay/relay_handover.cpp
+++ b/relay/relay_handover.cpp
@@ -1,6 +1,7 @@
 // The relay's handover: takes calls, listener and client connections over from the predecessor, and hands its
 // own to the successor.
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 #include "net/log.h"
 #include "relay/errors.h"
@@ -9,7 +10,9 @@
 namespace turntally::relay {
 namespace {
 
-constexpr Time kListenRetryPeriod = 5'000'000;  // the predecessor may not have closed its listener yet
+constexpr Time kListenRetryPeriod = 5'000'000;     // the predecessor may not have closed its listener yet
+constexpr Time kMaxWatchForSuccessor = 4'000'000;  // a relay of a large fleet opens its watch within 3.8 s
+constexpr size_t kMaxListFrameBytes = size_t{200} * 1024;  // a longer list is left to the successor's watch
 
 }  // namespace
 
@@ -69,6 +72,8 @@
     } else if (frame->kind == HandoverFrame::kEnded) {
       AttemptEndedFrame ended = AttemptEndedFrame::parse(frame->text);
       on_inherited_attempt_ended(ended.message_id, std::move(ended.end), ended.call_started);
+    } else if (frame->kind == HandoverFrame::kList) {
+      take_list(*frame);
     } else {
       throw HandoverFrameInvalid(frame->kind, "unexpected kind of frame");
     }
@@ -144,7 +149,8 @@
   send_clients();
   handover_.listen_to_successor(
       [this](const std::optional<HandoverFrame>& frame) { on_successor_frame(frame); });
-  if (watch_) watch_->close();
+  if (watch_) watch_->stop_connecting();
+  watch_for_successor_until_ = steady_now() + kMaxWatchForSuccessor;
   if (follower_) follower_->close();
   notices_.close();
   upstream_.close_idle();
@@ -188,7 +194,33 @@
   inherited_listener_ = Descriptor();
 }
 
+void Relay::on_watch_answered() {
+  if (handover_.has_predecessor()) handover_.send_to_predecessor(HandoverFrame::kWatching, "");
+  start_serving();
+}
+
+// Passes on a list that came after the handover.
+void Relay::forward_list(const EndpointList& list) {
+  const std::string text = text_of(list);
+  if (text.size() <= kMaxListFrameBytes) handover_.send_frame(HandoverFrame::kList, text);
+}
+
+// Applies a list that came to the predecessor after the handover.
+void Relay::take_list(const HandoverFrame& frame) {
+  if (handed_over_) return void(handover_.send_frame(HandoverFrame::kList, frame.text));
+  if (follower_) return;  // this process follows the registry's list
+  try {
+    on_endpoint_list(parse_list(nlohmann::json::parse(frame.text), config_.names));
+  } catch (const std::exception&) {
+    throw HandoverFrameInvalid(frame.kind, "not a list of endpoints");
+  }
+}
+
 void Relay::on_successor_frame(const std::optional<HandoverFrame>& frame) {
+  if (frame && frame->kind == HandoverFrame::kWatching) {
+    successor_is_watching_ = true;
+    handover_.send_to_predecessor(HandoverFrame::kWatching, "");
+  }
   if (!frame || frame->truncated || frame->kind != HandoverFrame::kCancel) return;
   const std::string& id = frame->text;
   if (inherited_attempts_.contains(id)) handover_.send_to_predecessor(HandoverFrame::kCancel, id);
--- a/tests/relay/handover_test.cpp
+++ b/tests/relay/handover_test.cpp
@@ -552,5 +552,33 @@
   EXPECT_EQ(journal.recovered()[0].attempts, 0);
 }
 
+// A relay of a large fleet opens its watch up to 3.8 s after its start. What discovery told meanwhile reached
+// neither process, and an endpoint that had begun to leave got calls.
+TEST(Handover, PassesOnListThatComesBeforeSuccessorWatches) {
+  HandoverFixture s;
+  Host other;
+  s.config["settings"]["siblings"] = 30;
+  s.config["settings"]["discovery"] = "ask";
+  s.start();
+  while (s.discovery.watches() == 0) std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  s.config["seed"] = "1b";  // its watch comes 3.7 s after its start
+  s.next.emplace(s.config);
+  s.next->share_state_of(*s.program);
+  s.next->log_at("debug");
+  s.next->start();
+  s.program->signal(SIGTERM);
+  s.discovery.tell(list_json(
+      2, false,
+      {member_json("s-1", s.host.address(), 7, "leaving"), member_json("s-2", other.address(), 7)}));
+  while (s.next->log_line("list").find("revision=2") == std::string::npos) continue;
+  EXPECT_EQ(s.discovery.watches(), 1);
+  Socket client = s.next->client();
+  client.send(put_bytes("m-1", facts("safe")));
+  EXPECT_EQ(client.line(), "+OK");
+  EXPECT_EQ(id_of(other.next()), "m-1");
+  other.answer("200");
+  EXPECT_EQ(s.program->wait(), 0);  // not before the successor has its own watch, or SIGKILL is near
+}
+
 }  // namespace
 }  // namespace turntally::testing
