policy: drop the state of an endpoint that has no route of its own

A state that was persisted for an independent endpoint is returned after a start under settings by which the endpoint shares its route, or after the endpoint has gone. The policy now tells the caller to drop it; RoutePersistence.DropsStateOfEndpointWithoutARouteOfItsOwn.

--- a/policy/policy.cpp
+++ b/policy/policy.cpp
@@ -124,8 +124,10 @@
 
 void Policy::Impl::handle(const RouteState& event) {
   route_persistence_.on_restored(event);
-  const bool is_gone = event.is_one_endpoint() && directory_.find(event.endpoint) == nullptr;
-  if (event.is_empty() || is_gone) return;
+  const EndpointState* endpoint = directory_.find(event.endpoint);
+  const bool has_own_route = endpoint != nullptr && endpoint->route->key.is_one_endpoint();
+  // Its endpoint may be gone, or share a route by new settings: the caller is told to drop the state.
+  if (event.is_empty() || (event.is_one_endpoint() && !has_own_route)) return;
   Route& route = directory_.get_or_add_route({event.destination, event.endpoint});
   route.restore(event, now_);
   block_route(route, event.blocked_until);
--- a/tests/policy/route_persistence_test.cpp
+++ b/tests/policy/route_persistence_test.cpp
@@ -151,5 +151,20 @@
   EXPECT_TRUE(actions_of<PersistRetryBudget>(actions).empty());
 }
 
+// By new settings the endpoint shares its route, or it has gone meanwhile: its own state has no use any more.
+TEST(RoutePersistence, DropsStateOfEndpointWithoutARouteOfItsOwn) {
+  RouteState state;
+  state.destination = 1;
+  state.endpoint = {1, 80};
+  state.blocked_until = 5 * kSecond;
+  for (const EndpointInfo& listed : {endpoint_info(1), endpoint_info(2, 1, kIndependentKind)}) {
+    CheckedPolicy policy(default_settings());
+    const auto dropped = actions_of<PersistRoute>(policy.step(0, {endpoint_list({listed}), state}));
+    ASSERT_EQ(dropped.size(), 1u);
+    EXPECT_TRUE(dropped[0].state.is_empty());
+    EXPECT_EQ(dropped[0].state.endpoint, state.endpoint);
+  }
+}
+
 }  // namespace
 }  // namespace turntally::policy::testing
