policy: keep waits and outages where new settings regroup routes

What callers would see: a SIGHUP by which a kind's endpoints share a route or stand apart ended their waits and outages: all that waited for them went out at once.

Cause: an endpoint was given its new route, and what had been learnt of the former one stayed with that, which no endpoint used any more.

Change: leave_route applies the wait and the outage to the new route and removes one that nobody uses. Endpoints that come together are in an outage only if each of them was. A trial call that ends on another route than it began on no longer makes the count of trial calls negative. The relay's look ahead of the first byte asks for a wait of either form of the route.

Evidence: RoutePersistence.NewSettingsKeepRetryAfter, .NewSettingsKeepOutageOfAllEndpoints and .NewSettingsKeepNoOutageOfOneEndpointAmongOthers fail without the call to leave_route (a trial) and pass with it.

--- a/policy/endpoint_directory.cpp
+++ b/policy/endpoint_directory.cpp
@@ -65,6 +65,17 @@
   return route;
 }
 
+void EndpointDirectory::remove_route_if_unused(const RouteKey& key) {
+  const auto route = routes_.find(key);
+  if (route == routes_.end()) return;
+  const DestinationEndpoints& endpoints = by_destination_[key.destination];
+  const bool is_used = std::any_of(endpoints.begin(), endpoints.end(),
+                                   [&](const auto& entry) { return entry.second->route == &route->second; });
+  if (is_used) return;
+  observed_routes_.erase(key);
+  routes_.erase(route);
+}
+
 const Route* EndpointDirectory::find_route(const RouteKey& key) const {
   const auto found = routes_.find(key);
   return found == routes_.end() ? nullptr : &found->second;
--- a/policy/endpoint_directory.h
+++ b/policy/endpoint_directory.h
@@ -37,6 +37,7 @@
   const DestinationEndpoints* find_destination(int destination) const;
 
   Route& get_or_add_route(const RouteKey& key);
+  void remove_route_if_unused(const RouteKey& key);
   const Route* find_route(const RouteKey& key) const;
   ptrdiff_t count_ready(const Route& route) const;
 
--- a/policy/policy.cpp
+++ b/policy/policy.cpp
@@ -83,7 +83,10 @@
 }
 
 void Policy::Impl::update_endpoint(const EndpointInfo& info) {
-  const EndpointState& endpoint = directory_.add_or_update(info, context());
+  const EndpointState* known = directory_.find(info.endpoint);
+  Route* former_route = known == nullptr ? nullptr : known->route;
+  EndpointState& endpoint = directory_.add_or_update(info, context());
+  if (former_route != nullptr && former_route != endpoint.route) leave_route(*former_route, endpoint);
   const bool is_new = !destinations_.contains(info.destination);
   Destination& destination = destinations_.get_or_add(info.destination);
   destination.kind = info.kind;
@@ -94,6 +97,27 @@
     endpoint.route->rate_limiter.on_listed_limit(info.weight, context());
 }
 
+// Applies the wait and the outage of the route that an endpoint has left to its present one, as new settings
+// make endpoints of a destination share a route or stand apart. Several endpoints that come together are in
+// an outage only if each of them was.
+void Policy::Impl::leave_route(const Route& former, const EndpointState& endpoint) {
+  Route& route = *endpoint.route;
+  const RouteKey former_key = former.key;
+  if (former_key.destination == route.key.destination) {
+    const RouteState state = former.persistent_state(now_);
+    if (state.blocked_until > route.blocked_until()) block_route(route, state.blocked_until);
+    if (route.key.is_one_endpoint()) {
+      route.split_outage(state, directory_.endpoints_of(former_key.destination).size(), now_);
+    } else if (endpoint.is_ready()) {
+      route.merge_outage(state, directory_.count_ready(route) == 1, now_);
+    }
+    if (route.outage().in_outage()) directory_.observe(route);
+    route_persistence_.on_changed(route.key);
+  }
+  directory_.remove_route_if_unused(former_key);
+  route_persistence_.on_changed(former_key);
+}
+
 void Policy::Impl::handle(const EndpointSuspended& event) {
   EndpointState* endpoint = directory_.find(event.endpoint);
   if (endpoint == nullptr || endpoint->suspended == event.suspended) return;
--- a/policy/policy_impl.h
+++ b/policy/policy_impl.h
@@ -101,6 +101,7 @@
   void requeue_waiting_messages();
   void update_endpoint(const EndpointInfo& info);
   void persist_retry_budget(int number, bool is_needed);
+  void leave_route(const Route& former, const EndpointState& endpoint);
   void resume_call(Message& message);
 
   // The end of an attempt; in attempt_outcome.cpp.
--- a/policy/route.cpp
+++ b/policy/route.cpp
@@ -95,6 +95,27 @@
   slow_start.restore(now);
 }
 
+void Route::split_outage(const RouteState& shared, size_t endpoints, Time now) {
+  if (shared.outage_since == 0) return;
+  const double rate = shared.rate_before_outage / static_cast<double>(endpoints);
+  outage_detector_.restore({shared.outage_since, shared.recovering_since, rate});
+  slow_start.restore(now);
+}
+
+void Route::merge_outage(const RouteState& joining, bool is_first, Time now) {
+  const bool was_in_outage = outage().in_outage();
+  if (!is_first && !was_in_outage) return;
+  if (joining.outage_since == 0) return outage_detector_.restore({});
+  OutageState merged = {joining.outage_since, joining.recovering_since, joining.rate_before_outage};
+  if (!is_first) {
+    merged.outage_since = std::min(merged.outage_since, outage().outage_since);
+    merged.recovering_since = std::max(merged.recovering_since, outage().recovering_since);
+    merged.rate_before_outage += outage().rate_before_outage;
+  }
+  outage_detector_.restore(merged);
+  slow_start.restore(now);
+}
+
 RouteState Route::persistent_state(Time now) const {
   RouteState state;
   state.destination = key.destination;
--- a/policy/route.h
+++ b/policy/route.h
@@ -57,6 +57,11 @@
   double own_rate(const StepContext& context) const;
 
   void restore(const RouteState& state, Time now);
+  // Takes over the outage of the route that all endpoints of the destination, so many, have shared.
+  void split_outage(const RouteState& shared, size_t endpoints, Time now);
+  // Takes over the outage of the route of an endpoint that shares this one from now on. If it is not the
+  // first to do so, the route stays in an outage only if both are in one.
+  void merge_outage(const RouteState& joining, bool is_first, Time now);
   // Returns the state to persist, which leaves out a suspected outage and a retry-after that is over.
   RouteState persistent_state(Time now) const;
 
--- a/policy/trial_calls.h
+++ b/policy/trial_calls.h
@@ -5,6 +5,8 @@
 // A health check alone does not end an outage, as it may pass while calls hang.
 #pragma once
 
+#include <algorithm>
+
 #include "policy/outage_detector.h"
 #include "policy/step_context.h"
 
@@ -26,7 +28,8 @@
   Decision decide_trial(const OutageState& outage, bool health_checks_allowed);
 
   void on_trial_sent() { ++in_flight_; }
-  void on_trial_ended() { --in_flight_; }
+  // A call may have been sent over another route, which its endpoint has left since.
+  void on_trial_ended() { in_flight_ = std::max(0, in_flight_ - 1); }
   bool has_call_in_flight() const { return in_flight_ > 0; }
 
   void on_health_check_sent() { health_check_in_flight_ = true; }
--- a/relay/relay_dispatch.cpp
+++ b/relay/relay_dispatch.cpp
@@ -170,7 +170,10 @@
   if (handed_over_ || message == nullptr || !directory_.is_active(call.endpoint) || now > call.start_by)
     return false;
   const ListedEndpoint* listed = directory_.find(call.endpoint);
-  if (route_waits_.is_waiting(route_of(listed->info), now)) return false;
+  // Both forms of the route: the wait may have been told under settings that had the other one.
+  const int destination = listed->info.destination;
+  if (route_waits_.is_waiting({destination, Endpoint{}}, now)) return false;
+  if (route_waits_.is_waiting({destination, call.endpoint}, now)) return false;
   if (!is_next_in_order(*message)) return false;
   net::log::debug("call", "id", message->submitted.id, "attempt", call.attempt, "destination",
                   message->submitted.destination, "host", listed->id, "timeout_ms", call.timeout / kMs);
--- a/tests/policy/route_persistence_test.cpp
+++ b/tests/policy/route_persistence_test.cpp
@@ -13,6 +13,13 @@
   return endpoint_list({endpoint_info(1, 1, kIndependentKind), endpoint_info(2, 1, kIndependentKind)});
 }
 
+// Settings in which the endpoints of the kind stand apart, or share a route.
+SettingsChanged endpoints_apart(int kind, bool apart) {
+  Settings settings = default_settings();
+  settings.kinds[static_cast<size_t>(kind)].independent_endpoints = apart;
+  return {std::make_shared<const Settings>(settings), {}};
+}
+
 // What a caller has persisted, in the order in which it returns it.
 struct Persisted {
   std::map<int, RetryBudgetState> budgets;
@@ -166,5 +173,51 @@
   }
 }
 
+// New settings make endpoints stand apart or share a route inside a wait, and the wait was forgotten.
+TEST(RoutePersistence, NewSettingsKeepRetryAfter) {
+  for (const bool apart_at_first : {false, true}) {
+    CheckedPolicy policy(default_settings());
+    const int kind = apart_at_first ? kIndependentKind : 0;
+    const EndpointListChanged list = endpoint_list({endpoint_info(1, 1, kind), endpoint_info(2, 1, kind)});
+    const auto sends = actions_of<SendAttempt>(policy.step(0, {list, policy.message(1, 0)}));
+    policy.step(1000, {attempt_ended(sends.at(0), 0, Outcome::kRejected, 1000, 2 * kSecond)});
+    std::vector<Event> events = {endpoints_apart(kind, !apart_at_first)};
+    for (uint64_t id = 2; id <= 9; ++id) events.emplace_back(policy.message(id, 2000));
+    EXPECT_TRUE(actions_of<SendAttempt>(policy.step(2000, events)).empty());
+    EXPECT_TRUE(actions_of<SendAttempt>(policy.run_empty_steps(3000, 19 * kSecond / 10)).empty());
+    EXPECT_FALSE(actions_of<SendAttempt>(policy.run_empty_steps(2 * kSecond, 4 * kSecond)).empty());
+  }
+}
+
+// New settings in an outage, which was forgotten: all messages went out at once.
+TEST(RoutePersistence, NewSettingsKeepOutageOfAllEndpoints) {
+  for (const bool apart_at_first : {false, true}) {
+    CheckedPolicy policy(default_settings());
+    const int kind = apart_at_first ? kIndependentKind : 0;
+    const EndpointListChanged list = endpoint_list({endpoint_info(1, 1, kind), endpoint_info(2, 1, kind)});
+    Persisted persisted = play_outage(policy, list, {1, 2}, 8 * kSecond);
+    std::vector<Event> events = {endpoints_apart(kind, !apart_at_first)};
+    for (uint64_t id = 101; id <= 108; ++id) events.emplace_back(policy.message(id, 9 * kSecond));
+    const auto actions = policy.step(9 * kSecond, events);
+    EXPECT_LE(actions_of<SendAttempt>(actions).size(), 2u);
+    persisted.apply(actions);
+    EXPECT_EQ(persisted.routes.size(), apart_at_first ? 1u : 2u);  // those that are left are forgotten
+    EXPECT_EQ(persisted.routes.contains(Endpoint{}), apart_at_first);
+  }
+}
+
+// One endpoint of two is out: together with the other it is no outage of the destination.
+TEST(RoutePersistence, NewSettingsKeepNoOutageOfOneEndpointAmongOthers) {
+  CheckedPolicy policy(default_settings());
+  Persisted persisted = play_outage(policy, two_independent_endpoints(), {1}, 8 * kSecond);
+  ASSERT_TRUE(persisted.routes.contains({1, 80}));
+  std::vector<Event> events = {endpoints_apart(kIndependentKind, false)};
+  for (uint64_t id = 101; id <= 108; ++id) events.emplace_back(policy.message(id, 9 * kSecond));
+  const auto actions = policy.step(9 * kSecond, events);
+  EXPECT_GE(actions_of<SendAttempt>(actions).size(), 4u);
+  persisted.apply(actions);
+  EXPECT_TRUE(persisted.routes.empty());
+}
+
 }  // namespace
 }  // namespace turntally::policy::testing
