relay: pass on a long list whole, so that no later change hides it

What callers would have seen: after an upgrade in a large fleet, calls for good to endpoints of a zone that was leaving. Found by reading, which has not been in service.

Cause: a list of over 200 kB was not passed on to the successor, as a frame must fit into the socket.

Change: a list goes over in as many frames as it needs, all but the last of a kind of its own. A list that could not be read ends what is taken from the predecessor; the successor's own watch brings it then. The text of a list is put together from its entries without parsing each.

--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -38,11 +38,11 @@
 }
 
 std::string text_of(const EndpointList& list) {
-  nlohmann::json members = nlohmann::json::array();
+  std::string members;
   for (const ListedEndpoint& listed : list.endpoints)
-    members.push_back(nlohmann::json::parse(listed.json_text));
-  return nlohmann::json{{"revision", list.revision}, {"complete", list.complete}, {"members", members}}
-      .dump();
+    members += (members.empty() ? "" : ",") + listed.json_text;
+  return R"({"revision":)" + std::to_string(list.revision) + R"(,"complete":)" +
+         (list.complete ? "true" : "false") + R"(,"members":[)" + members + "]}";
 }
 
 // Returns whether an entry of an older list would undo a newer one. An id that has left the list comes back
--- a/relay/handover.h
+++ b/relay/handover.h
@@ -24,13 +24,16 @@
     kClient = 'S',    // a client's connection
     kEnded = 'E',     // the end of a message's attempt in a call in flight
     kCancel = 'X',    // from the successor: a call in flight is to be cancelled
-    kList = 'I',      // a change of the list of endpoints that the predecessor's watch has brought
+    kListPart = 'P',  // the beginning of a change of the list that is too long for one frame
+    kList = 'I',      // the rest of a change of the list that the predecessor's watch has brought
     kWatching = 'W'   // from the successor: its own watch on the list is answered
   };
   Kind kind = kFolder;
   std::string text;
   Descriptor descriptor;
   bool truncated = false;  // part of the text or a descriptor was lost in transit
+
+  bool is_list() const { return kind == kList || kind == kListPart; }
 };
 
 class Handover {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -200,7 +200,9 @@
   Time watch_for_successor_until_ = 0;
   std::map<std::string, InheritedAttempt> inherited_attempts_;  // by message id
   uint64_t inherited_calls_ = 0;
-  Descriptor inherited_listener_;  // the predecessor's, until clients_ uses it
+  Descriptor inherited_listener_;       // the predecessor's, until clients_ uses it
+  std::string inherited_list_;          // the frames so far of a list that the predecessor passes on
+  bool missed_inherited_list_ = false;  // one of the predecessor's lists could not be read
   Journal journal_;
   DurableClock clock_;  // for all times in the journal
   PersistedState persisted_state_;
--- a/relay/relay_handover.cpp
+++ b/relay/relay_handover.cpp
@@ -12,7 +12,7 @@
 
 constexpr Time kListenRetryPeriod = 5'000'000;     // the predecessor may not have closed its listener yet
 constexpr Time kMaxWatchForSuccessor = 4'000'000;  // a relay of a large fleet opens its watch within 3.8 s
-constexpr size_t kMaxListFrameBytes = size_t{200} * 1024;  // a longer list is left to the successor's watch
+constexpr size_t kListFrameBytes = size_t{64} * 1024;  // of a list that needs several frames
 
 }  // namespace
 
@@ -65,6 +65,7 @@
 // the predecessor had.
 void Relay::on_predecessor_frame(std::optional<HandoverFrame> frame) {
   if (!frame) return on_predecessor_disconnected();
+  const bool is_list = frame->is_list();
   try {
     if (frame->truncated) throw HandoverFrameInvalid(frame->kind, "truncated in transit");
     if (frame->kind == HandoverFrame::kClient) {
@@ -72,12 +73,13 @@
     } else if (frame->kind == HandoverFrame::kEnded) {
       AttemptEndedFrame ended = AttemptEndedFrame::parse(frame->text);
       on_inherited_attempt_ended(ended.message_id, std::move(ended.end), ended.call_started);
-    } else if (frame->kind == HandoverFrame::kList) {
+    } else if (is_list) {
       take_list(*frame);
     } else {
       throw HandoverFrameInvalid(frame->kind, "unexpected kind of frame");
     }
   } catch (const HandoverFrameInvalid& error) {
+    missed_inherited_list_ = missed_inherited_list_ || is_list;
     reject_frame(error);
   }
 }
@@ -199,18 +201,25 @@
   start_serving();
 }
 
-// Passes on a list that came after the handover.
+// Passes on a list that came after the handover. None may be left out: the successor takes the revision of
+// the next one for its own, and would not ask for what it has missed.
 void Relay::forward_list(const EndpointList& list) {
   const std::string text = text_of(list);
-  if (text.size() <= kMaxListFrameBytes) handover_.send_frame(HandoverFrame::kList, text);
+  size_t begin = 0;
+  for (; text.size() - begin > kListFrameBytes; begin += kListFrameBytes)
+    handover_.send_frame(HandoverFrame::kListPart, text.substr(begin, kListFrameBytes));
+  handover_.send_frame(HandoverFrame::kList, text.substr(begin));
 }
 
-// Applies a list that came to the predecessor after the handover.
+// Applies a list that came to the predecessor after the handover, once its last frame is there.
 void Relay::take_list(const HandoverFrame& frame) {
-  if (handed_over_) return void(handover_.send_frame(HandoverFrame::kList, frame.text));
-  if (follower_) return;  // this process follows the registry's list
+  if (handed_over_) return void(handover_.send_frame(frame.kind, frame.text));
+  if (follower_ || missed_inherited_list_) return;  // another source brings the list
+  inherited_list_ += frame.text;
+  if (frame.kind == HandoverFrame::kListPart) return;
   try {
-    on_endpoint_list(parse_list(nlohmann::json::parse(frame.text), config_.names));
+    const std::string text = std::exchange(inherited_list_, "");
+    on_endpoint_list(parse_list(nlohmann::json::parse(text), config_.names));
   } catch (const std::exception&) {
     throw HandoverFrameInvalid(frame.kind, "not a list of endpoints");
   }
--- a/tests/relay/handover_test.cpp
+++ b/tests/relay/handover_test.cpp
@@ -552,6 +552,15 @@
   EXPECT_EQ(journal.recovered()[0].attempts, 0);
 }
 
+// Waits for the log line of a list with this text; false at the deadline.
+bool logs_list(Program& program, const std::string& text) {
+  std::string line;
+  do {
+    line = program.log_line("list");
+  } while (!line.empty() && line.find(text) == std::string::npos);
+  return !line.empty();
+}
+
 // A relay of a large fleet opens its watch up to 3.8 s after its start. What discovery told meanwhile reached
 // neither process, and an endpoint that had begun to leave got calls.
 TEST(Handover, PassesOnListThatComesBeforeSuccessorWatches) {
@@ -570,7 +579,7 @@
   s.discovery.tell(list_json(
       2, false,
       {member_json("s-1", s.host.address(), 7, "leaving"), member_json("s-2", other.address(), 7)}));
-  while (s.next->log_line("list").find("revision=2") == std::string::npos) continue;
+  EXPECT_TRUE(logs_list(*s.next, "revision=2"));
   EXPECT_EQ(s.discovery.watches(), 1);
   Socket client = s.next->client();
   client.send(put_bytes("m-1", facts("safe")));
@@ -580,5 +589,33 @@
   EXPECT_EQ(s.program->wait(), 0);  // not before the successor has its own watch, or SIGKILL is near
 }
 
+// A list that was too long for one frame was left out, the next change went over with its revision, and the
+// successor never asked for what it had missed.
+TEST(Handover, PassesOnLongListAheadOfItsNextChange) {
+  HandoverFixture s;
+  Host other;
+  s.config["settings"]["siblings"] = 30;
+  s.config["settings"]["discovery"] = "ask";
+  s.start();
+  while (s.discovery.watches() == 0) std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  s.config["seed"] = "1b";  // its watch comes 3.7 s after its start
+  s.next.emplace(s.config);
+  s.next->share_state_of(*s.program);
+  s.next->log_at("debug");
+  s.next->start();
+  std::vector<nlohmann::json> zone = {member_json("s-1", s.host.address(), 7, "leaving")};
+  for (int i = 0; i < 2000; ++i) zone.push_back(member_json("zone-" + std::to_string(i), other.address(), 8));
+  s.discovery.tell(list_json(2, false, zone));
+  s.discovery.tell(list_json(3, false, {member_json("s-2", other.address(), 7)}));
+  EXPECT_TRUE(logs_list(*s.next, "revision=2 changed=2001"));
+  EXPECT_TRUE(logs_list(*s.next, "revision=3 changed=1"));
+  EXPECT_EQ(s.discovery.watches(), 1);
+  Socket client = s.next->client();
+  client.send(put_bytes("m-1", facts("safe")));
+  EXPECT_EQ(client.line(), "+OK");
+  EXPECT_EQ(id_of(other.next()), "m-1");
+  other.answer("200");
+}
+
 }  // namespace
 }  // namespace turntally::testing
