relay, policy: keep the slow start of an endpoint that was resumed

What callers would have seen: operators take an endpoint out, restart it and put it back; it comes back cold. A restart or an upgrade of the relay within cold_s ended the slow start, and the new process sent all that waited at once.

Change: the policy passes EndpointSlowStartState to be persisted, the relay keeps it by the endpoint's id until that leaves, and the next process goes on from it or drops it where it is over. A suspension that has ended without a record of when (a kill between two facts) starts the slow start anew.

--- a/include/turntally/actions.h
+++ b/include/turntally/actions.h
@@ -75,7 +75,14 @@
   RouteState state;
 };
 
-using Action = std::variant<SendAttempt, Reject, Fail, Cancel, SendHealthCheck, CloseIdleConnections,
-                            SetTimer, OpenListWatch, SendGossip, Log, PersistRetryBudget, PersistRoute>;
+// Replaces the persisted slow start of the endpoint. An empty state removes it. It is also removed with the
+// endpoint's entry in the list.
+struct PersistEndpointSlowStart {
+  EndpointSlowStartState state;
+};
+
+using Action =
+    std::variant<SendAttempt, Reject, Fail, Cancel, SendHealthCheck, CloseIdleConnections, SetTimer,
+                 OpenListWatch, SendGossip, Log, PersistRetryBudget, PersistRoute, PersistEndpointSlowStart>;
 
 }  // namespace turntally::policy
--- a/include/turntally/events.h
+++ b/include/turntally/events.h
@@ -125,6 +125,6 @@
 
 using Event = std::variant<EndpointListChanged, MessageArrived, AttemptEnded, HealthCheckEnded,
                            MessageWithdrawn, TimerFired, GossipReceived, ShutdownScheduled, RetryBudgetState,
-                           RouteState, SettingsChanged, EndpointSuspended>;
+                           RouteState, EndpointSlowStartState, SettingsChanged, EndpointSuspended>;
 
 }  // namespace turntally::policy
--- a/include/turntally/types.h
+++ b/include/turntally/types.h
@@ -41,4 +41,17 @@
   bool operator==(const RouteState&) const = default;
 };
 
+// Slow start of an endpoint that an operator has suspended or resumed, which outlives a restart of the
+// process. The policy emits it in PersistEndpointSlowStart; after a restart the caller returns it as an
+// event, after the list of endpoints and the suspensions, and before any message.
+struct EndpointSlowStartState {
+  Endpoint endpoint;
+  double rate_before_suspension = 0;  // calls per second that this relay had made
+  Time resumed_at = 0;                // point in time; 0: still suspended
+
+  // Returns whether there is nothing to keep: no suspension and no slow start.
+  bool is_empty() const { return rate_before_suspension == 0 && resumed_at == 0; }
+  bool operator==(const EndpointSlowStartState&) const = default;
+};
+
 }  // namespace turntally::policy
--- a/policy/policy.cpp
+++ b/policy/policy.cpp
@@ -129,6 +129,7 @@
     endpoint->slow_start.on_resumed(context());
     endpoint->ejection.readmit();
   }
+  persist_slow_start(*endpoint);
   update_endpoint(EndpointInfo(endpoint->info));
 }
 
@@ -158,6 +159,13 @@
   directory_.observe(route);
 }
 
+void Policy::Impl::handle(const EndpointSlowStartState& event) {
+  EndpointState* endpoint = directory_.find(event.endpoint);
+  if (endpoint == nullptr) return;
+  endpoint->slow_start.restore(event, endpoint->suspended, context());
+  persist_slow_start(*endpoint);
+}
+
 void Policy::Impl::open_list_watch() {
   if (!settings_.list_needs_watch || list_watch_.is_open()) return;
   if (now_ < list_watch_.open_at()) return wake_at(list_watch_.open_at());
@@ -211,6 +219,12 @@
   actions_->push_back(PersistRetryBudget{{number, token_tenths}});
 }
 
+void Policy::Impl::persist_slow_start(const EndpointState& endpoint) {
+  EndpointSlowStartState state = endpoint.slow_start.persistent_state();
+  state.endpoint = endpoint.info.endpoint;
+  actions_->push_back(PersistEndpointSlowStart{state});
+}
+
 void Policy::Impl::handle(const MessageArrived& event) {
   if (event.message_class < 0 || event.message_class >= static_cast<int>(settings_.classes.size()))
     throw std::invalid_argument("unknown class of message " + std::to_string(event.id));
--- a/policy/policy_impl.h
+++ b/policy/policy_impl.h
@@ -84,6 +84,7 @@
   void handle(const ShutdownScheduled& event);
   void handle(const RetryBudgetState& event);
   void handle(const RouteState& event);
+  void handle(const EndpointSlowStartState& event);
   void handle(const SettingsChanged& event);
   void handle(const EndpointSuspended& event);
 
@@ -101,6 +102,7 @@
   void requeue_waiting_messages();
   void update_endpoint(const EndpointInfo& info);
   void persist_retry_budget(int number, bool is_needed);
+  void persist_slow_start(const EndpointState& endpoint);
   void leave_route(const Route& former, const EndpointState& endpoint);
   void resume_call(Message& message);
 
--- a/policy/slow_start.cpp
+++ b/policy/slow_start.cpp
@@ -47,6 +47,21 @@
   return outage.rate_before_outage * std::max(0.0, budget - (1 - aware)) / aware;
 }
 
+void EndpointSlowStart::on_suspended(double rate) {
+  rate_before_suspension_ = rate;
+  resumed_at_ = 0;
+}
+
+void EndpointSlowStart::restore(const EndpointSlowStartState& state, bool suspended,
+                                const StepContext& context) {
+  on_suspended(state.rate_before_suspension);
+  if (suspended) return;
+  if (state.resumed_at == 0) return on_resumed(context);
+  if (context.now - state.resumed_at >= context.settings.slow_start_duration) return on_suspended(0);
+  resumed_at_ = state.resumed_at;
+  bucket_ = {0, context.now};
+}
+
 void EndpointSlowStart::on_resumed(const StepContext& context) {
   resumed_at_ = context.now;
   bucket_ = {seconds(context.random.between(0, kSecond)), context.now};
--- a/policy/slow_start.h
+++ b/policy/slow_start.h
@@ -42,8 +42,13 @@
 class EndpointSlowStart {
  public:
   // `rate` is this relay's own rate of calls to the endpoint before the suspension.
-  void on_suspended(double rate) { rate_before_suspension_ = rate; }
+  void on_suspended(double rate);
   void on_resumed(const StepContext& context);
+  // Continues from the state that a previous process persisted, unless its slow start is over. A suspension
+  // that has ended without a record of when starts the slow start now.
+  void restore(const EndpointSlowStartState& state, bool suspended, const StepContext& context);
+  // Returns the state to persist, without the endpoint.
+  EndpointSlowStartState persistent_state() const { return {{}, rate_before_suspension_, resumed_at_}; }
 
   bool is_active() const { return resumed_at_ != 0; }
   Time next_send_at(const StepContext& context);
--- a/relay/journal_facts.h
+++ b/relay/journal_facts.h
@@ -15,6 +15,8 @@
 inline const std::string kDestination =
     "destination ";                          // prefix, then its number: its retry budget and route
 inline const std::string kRoute = "route ";  // prefix, then an independent endpoint's id: its route
+inline const std::string kSlowStart =
+    "slow_start ";  // prefix, then the id of an endpoint that was suspended: its slow start
 inline const std::string kFencingToken =
     Journal::kSyncedFactPrefix;                           // prefix, then a lease: its highest token
 inline const std::string kListRevision = "revision";      // of the list
--- a/relay/persisted_state.cpp
+++ b/relay/persisted_state.cpp
@@ -11,26 +11,29 @@
 constexpr const char* kRetryTokensKey = "tokens";
 constexpr const char* kOutageSinceKey = "out_since";
 constexpr const char* kRecoveringSinceKey = "back_since";
-constexpr const char* kRateBeforeOutageKey = "base";
-constexpr const char* kWaitUntilKey = "wait_until";  // missing in older records
-constexpr const char* kDestinationKey = "cell";      // of an endpoint's route
+constexpr const char* kRateBeforeOutageKey = "base";  // or before a suspension
+constexpr const char* kWaitUntilKey = "wait_until";   // missing in older records
+constexpr const char* kDestinationKey = "cell";       // of an endpoint's route
+constexpr const char* kResumedAtKey = "resumed_at";   // of a slow start
+
+// Convert points in time, of which 0 stands for none.
+Time to_durable(Time time, const DurableClock& clock) { return time == 0 ? 0 : clock.from_steady(time); }
+Time to_steady(Time time, const DurableClock& clock) { return time == 0 ? 0 : clock.to_steady(time); }
 
 nlohmann::json route_json(const policy::RouteState& route, const DurableClock& clock) {
-  const auto durable = [&clock](Time time) { return time == 0 ? 0 : clock.from_steady(time); };
-  return {{kOutageSinceKey, durable(route.outage_since)},
-          {kRecoveringSinceKey, durable(route.recovering_since)},
+  return {{kOutageSinceKey, to_durable(route.outage_since, clock)},
+          {kRecoveringSinceKey, to_durable(route.recovering_since, clock)},
           {kRateBeforeOutageKey, route.rate_before_outage},
-          {kWaitUntilKey, durable(route.blocked_until)}};
+          {kWaitUntilKey, to_durable(route.blocked_until, clock)}};
 }
 
 policy::RouteState parse_route(const nlohmann::json& json, int destination, const DurableClock& clock) {
-  const auto steady = [&clock](Time time) { return time == 0 ? 0 : clock.to_steady(time); };
   policy::RouteState route;
   route.destination = destination;
-  route.outage_since = steady(json.at(kOutageSinceKey).get<Time>());
-  route.recovering_since = steady(json.at(kRecoveringSinceKey).get<Time>());
+  route.outage_since = to_steady(json.at(kOutageSinceKey).get<Time>(), clock);
+  route.recovering_since = to_steady(json.at(kRecoveringSinceKey).get<Time>(), clock);
   route.rate_before_outage = json.at(kRateBeforeOutageKey).get<double>();
-  route.blocked_until = steady(json.value(kWaitUntilKey, Time{0}));
+  route.blocked_until = to_steady(json.value(kWaitUntilKey, Time{0}), clock);
   return route;
 }
 
@@ -74,16 +77,40 @@
     shared_[route.destination].route = route;
     return record_shared(route.destination);
   }
-  if (route.is_empty()) return forget_endpoint(endpoint_id);
+  if (route.is_empty()) return forget_route(endpoint_id);
   nlohmann::json json = route_json(route, clock_);
   json[kDestinationKey] = route.destination;
   journal_.record_fact(fact::kRoute + endpoint_id, json.dump());
 }
 
-void PersistedState::forget_endpoint(const std::string& endpoint_id) {
+void PersistedState::forget_route(const std::string& endpoint_id) {
   journal_.record_fact(fact::kRoute + endpoint_id, "");
 }
 
+std::map<std::string, policy::EndpointSlowStartState> PersistedState::recovered_slow_starts() const {
+  std::map<std::string, policy::EndpointSlowStartState> slow_starts;
+  for (const auto& [name, text] : journal_.facts()) {
+    if (!name.starts_with(fact::kSlowStart)) continue;
+    const nlohmann::json json = nlohmann::json::parse(text);
+    policy::EndpointSlowStartState& slow_start = slow_starts[name.substr(fact::kSlowStart.size())];
+    slow_start.rate_before_suspension = json.at(kRateBeforeOutageKey).get<double>();
+    slow_start.resumed_at = to_steady(json.at(kResumedAtKey).get<Time>(), clock_);
+  }
+  return slow_starts;
+}
+
+void PersistedState::record(const policy::EndpointSlowStartState& slow_start,
+                            const std::string& endpoint_id) {
+  if (slow_start.is_empty()) return forget_slow_start(endpoint_id);
+  const nlohmann::json json = {{kRateBeforeOutageKey, slow_start.rate_before_suspension},
+                               {kResumedAtKey, to_durable(slow_start.resumed_at, clock_)}};
+  journal_.record_fact(fact::kSlowStart + endpoint_id, json.dump());
+}
+
+void PersistedState::forget_slow_start(const std::string& endpoint_id) {
+  journal_.record_fact(fact::kSlowStart + endpoint_id, "");
+}
+
 void PersistedState::record_shared(int destination) {
   const SharedState& state = shared_.at(destination);
   nlohmann::json json = route_json(state.route, clock_);
--- a/relay/persisted_state.h
+++ b/relay/persisted_state.h
@@ -11,8 +11,9 @@
 
 namespace turntally::relay {
 
-// Reads and writes the retry budgets and route states of the policy. Points in time are those of the steady
-// clock in memory, and of the DurableClock in the journal, to which they are converted here.
+// Reads and writes the retry budgets, route states and endpoint slow starts of the policy. Points in time are
+// those of the steady clock in memory, and of the DurableClock in the journal, to which they are converted
+// here.
 //
 // The retry budget of a destination and the route that all its endpoints share are in one fact, which
 // versions without states of independent endpoints read too. Those ignore the facts of such endpoints.
@@ -20,15 +21,18 @@
  public:
   PersistedState(Journal& journal, const DurableClock& clock);
 
-  // What the previous process has left. Routes are by endpoint id, which is empty for a shared route; the
-  // handle of the endpoint is not set.
+  // What the previous process has left. Routes and slow starts are by endpoint id, which is empty for a
+  // shared route; the handle of the endpoint is not set.
   std::vector<policy::RetryBudgetState> recovered_budgets() const;
   std::multimap<std::string, policy::RouteState> recovered_routes() const;
+  std::map<std::string, policy::EndpointSlowStartState> recovered_slow_starts() const;
 
   void record(const policy::RetryBudgetState& budget);
   // `endpoint_id` is empty for a shared route. An empty state of an endpoint's route removes its fact.
   void record(const policy::RouteState& route, const std::string& endpoint_id);
-  void forget_endpoint(const std::string& endpoint_id);
+  void record(const policy::EndpointSlowStartState& slow_start, const std::string& endpoint_id);
+  void forget_route(const std::string& endpoint_id);
+  void forget_slow_start(const std::string& endpoint_id);
 
  private:
   struct SharedState {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -126,6 +126,9 @@
   int zone_of(const RecordedAttempt& attempt) const;
   void recover_route(const std::string& endpoint_id, policy::RouteState state);
   void record_route(const policy::RouteState& state);
+  void recover_slow_start(const std::string& endpoint_id, policy::EndpointSlowStartState slow_start);
+  void record_slow_start(const policy::EndpointSlowStartState& state);
+  const ListedEndpoint* find_listed(const Endpoint& endpoint) const;
 
   // Submission, delivery terms and ordering of messages: relay_submission.cpp.
   void accept_message(SubmittedMessage message, Clients::AnswerHandler answer);
--- a/relay/relay_dispatch.cpp
+++ b/relay/relay_dispatch.cpp
@@ -89,6 +89,8 @@
     persisted_state_.record(persist_budget->state);
   } else if (const auto* persist_route = std::get_if<policy::PersistRoute>(&action)) {
     record_route(persist_route->state);
+  } else if (const auto* persist_slow_start = std::get_if<policy::PersistEndpointSlowStart>(&action)) {
+    record_slow_start(persist_slow_start->state);
   } else if (const auto* log = std::get_if<policy::Log>(&action)) {
     net::log::info("decision", "text", log->text);
   }
--- a/relay/relay_endpoints.cpp
+++ b/relay/relay_endpoints.cpp
@@ -80,6 +80,7 @@
     facts.push_back({fact::kRemovedAt + id, std::to_string(directory_.removal_times().at(id))});
     facts.push_back({fact::kEndpoint + id, ""});
     facts.push_back({fact::kRoute + id, ""});
+    facts.push_back({fact::kSlowStart + id, ""});
   } else {
     facts.push_back({fact::kEndpoint + id, listed->json_text});
     facts.push_back({fact::kRemovedAt + id, ""});
--- a/relay/relay_recovery.cpp
+++ b/relay/relay_recovery.cpp
@@ -7,6 +7,7 @@
 #include "relay/relay.h"
 
 namespace turntally::relay {
+
 // Recovers the endpoints and destinations that the previous process knew. The configuration's list alone may
 // be older: endpoints that were draining would get new calls again.
 void Relay::recover_endpoints() {
@@ -33,6 +34,8 @@
   for (const policy::RetryBudgetState& budget : persisted_state_.recovered_budgets()) queue_event(budget);
   for (const auto& [endpoint_id, route] : persisted_state_.recovered_routes())
     recover_route(endpoint_id, route);
+  for (const auto& [endpoint_id, slow_start] : persisted_state_.recovered_slow_starts())
+    recover_slow_start(endpoint_id, slow_start);
 }
 
 void Relay::recover_fact(const std::string& name, const nlohmann::json& value) {
@@ -52,19 +55,35 @@
   if (!endpoint_id.empty()) {
     const ListedEndpoint* listed = directory_.find(directory_.handle(endpoint_id));
     if (listed == nullptr || listed->info.destination != state.destination)
-      return persisted_state_.forget_endpoint(endpoint_id);
+      return persisted_state_.forget_route(endpoint_id);
     state.endpoint = listed->info.endpoint;
   }
   if (!handover_.has_predecessor()) state.blocked_until = 0;
   queue_event(state);
 }
 
+// Passes an endpoint's slow start to the policy.
+void Relay::recover_slow_start(const std::string& endpoint_id, policy::EndpointSlowStartState slow_start) {
+  const ListedEndpoint* listed = directory_.find(directory_.handle(endpoint_id));
+  if (listed == nullptr) return persisted_state_.forget_slow_start(endpoint_id);
+  slow_start.endpoint = listed->info.endpoint;
+  queue_event(slow_start);
+}
+
 // Records the state of a route, unless it belongs to an endpoint that has left the list.
 void Relay::record_route(const policy::RouteState& state) {
   if (!state.is_one_endpoint()) return persisted_state_.record(state, "");
-  const ListedEndpoint* listed = directory_.find(state.endpoint);
-  if (listed != nullptr && listed->info.listing != policy::Listing::kGone)
-    persisted_state_.record(state, listed->id);
+  if (const ListedEndpoint* listed = find_listed(state.endpoint)) persisted_state_.record(state, listed->id);
+}
+
+void Relay::record_slow_start(const policy::EndpointSlowStartState& state) {
+  if (const ListedEndpoint* listed = find_listed(state.endpoint)) persisted_state_.record(state, listed->id);
+}
+
+// Returns the entry of an endpoint that has not left the list, else null.
+const ListedEndpoint* Relay::find_listed(const Endpoint& endpoint) const {
+  const ListedEndpoint* listed = directory_.find(endpoint);
+  return listed == nullptr || listed->info.listing == policy::Listing::kGone ? nullptr : listed;
 }
 
 // Recovers the messages of the previous process and passes them to the policy, which decides on them like on
--- a/sim/wire.cpp
+++ b/sim/wire.cpp
@@ -357,6 +357,7 @@
   }
   void operator()(const policy::PersistRetryBudget&) const {}
   void operator()(const policy::PersistRoute&) const {}
+  void operator()(const policy::PersistEndpointSlowStart&) const {}
   void operator()(const policy::Log& a) const {
     put_code(out, ActionCode::kLog);
     put_text(out, a.text);
@@ -407,7 +408,8 @@
 void Encoder::add_actions(int instance, std::span<const policy::Action> actions) {
   const auto is_persistence = [](const policy::Action& action) {
     return std::holds_alternative<policy::PersistRetryBudget>(action) ||
-           std::holds_alternative<policy::PersistRoute>(action);
+           std::holds_alternative<policy::PersistRoute>(action) ||
+           std::holds_alternative<policy::PersistEndpointSlowStart>(action);
   };
   if (std::all_of(actions.begin(), actions.end(), is_persistence)) return;
   begin_instance(instance);
--- a/sim/wire.h
+++ b/sim/wire.h
@@ -64,7 +64,7 @@
 // Builds the reply to one frame from the actions of each instance, in the order in which they are added.
 class Encoder {
  public:
-  // Leaves out PersistRetryBudget and PersistRoute, as a simulated relay has no persistent state.
+  // Leaves out the actions that persist a state, as a simulated relay has none that lasts.
   void add_actions(int instance, std::span<const policy::Action> actions);
   // Reports that the instance's policy threw an exception with this text.
   void add_panic(int instance, std::string_view text);
--- a/tests/policy/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -1184,6 +1184,41 @@
   EXPECT_GE(early.size() + next.size(), 3u);
 }
 
+// A new process forgot that an endpoint had been resumed, and sent it all waiting messages at once.
+TEST(EndpointSuspended, ContinuesSlowStartInNextProcess) {
+  Settings settings = default_settings();
+  settings.max_concurrent_calls = 100;
+  const EndpointListChanged list = endpoint_list({endpoint_info(1)});
+  const auto sends_of_next_process = [&](const EndpointSlowStartState& state, bool suspended, Time now) {
+    CheckedPolicy next(settings);
+    std::vector<Event> events = {list};
+    if (suspended) events.emplace_back(EndpointSuspended{{1, 80}, true});
+    events.emplace_back(state);
+    next.step(now, events);
+    events.clear();
+    if (suspended) events.emplace_back(EndpointSuspended{{1, 80}, false});
+    for (uint64_t id = 1; id <= 20; ++id) events.push_back(next.message(id, now));
+    return actions_of<SendAttempt>(next.step(now + 1, events)).size();
+  };
+  CheckedPolicy relay(settings);
+  relay.step(0, {list});
+  const auto suspended =
+      actions_of<PersistEndpointSlowStart>(relay.step(kSecond, {EndpointSuspended{{1, 80}, true}}));
+  ASSERT_EQ(suspended.size(), 1u);
+  EXPECT_GT(suspended[0].state.rate_before_suspension, 0);
+  EXPECT_EQ(suspended[0].state.resumed_at, 0);
+  const Time resumed_at = 2 * kSecond;
+  const auto resumed =
+      actions_of<PersistEndpointSlowStart>(relay.step(resumed_at, {EndpointSuspended{{1, 80}, false}}));
+  ASSERT_EQ(resumed.size(), 1u);
+  EXPECT_EQ(resumed[0].state.resumed_at, resumed_at);
+  const Time over_at = resumed_at + settings.slow_start_duration;
+  EXPECT_LE(sends_of_next_process(resumed[0].state, false, over_at - kSecond / 2), 2u);
+  EXPECT_LE(sends_of_next_process(suspended[0].state, true, over_at), 2u);
+  EXPECT_LE(sends_of_next_process(suspended[0].state, false, over_at), 2u);  // killed as it was resumed
+  EXPECT_GT(sends_of_next_process(resumed[0].state, false, over_at), 10u);
+}
+
 // Calls of the previous process use slots: one for all messages that travel in the same call.
 TEST(Handover, InheritedCallsUseSlotsUntilTheyEnd) {
   Settings settings = default_settings();
--- a/tests/relay/persisted_state_test.cpp
+++ b/tests/relay/persisted_state_test.cpp
@@ -37,6 +37,7 @@
 TEST(PersistedState, ReturnsWhatWasRecorded) {
   const Folder folder;
   const DurableClock clock = clock_with_offset();
+  const policy::EndpointSlowStartState slow_start = {{}, 2.5, 4'000'000};
   {
     Journal journal(folder.path, kDiskBytes);
     PersistedState state(journal, clock);
@@ -46,13 +47,18 @@
     state.record(outage_of(9), "s-9");
     state.record(policy::RouteState{9, {}}, "s-9");
     state.record(outage_of(10), "s-10");
-    state.forget_endpoint("s-10");
+    state.forget_route("s-10");
+    for (const std::string id : {"s-8", "s-9", "s-10"}) state.record(slow_start, id);
+    state.record(policy::EndpointSlowStartState(), "s-9");
+    state.forget_slow_start("s-10");
   }
   Journal journal(folder.path, kDiskBytes);
   const PersistedState state(journal, clock);
   EXPECT_EQ(state.recovered_budgets(), (std::vector<policy::RetryBudgetState>{{7, 90}}));
   EXPECT_EQ(state.recovered_routes(),
             (std::multimap<std::string, policy::RouteState>{{"", outage_of(7)}, {"s-8", outage_of(8)}}));
+  EXPECT_EQ(state.recovered_slow_starts(),
+            (std::map<std::string, policy::EndpointSlowStartState>{{"s-8", slow_start}}));
 }
 
 // The fact of commit 268932e, which had one for a destination and none for an endpoint; records before
@@ -179,6 +185,21 @@
   EXPECT_NE(setup.route_fact("s-1"), "");
 }
 
+// Operators resume an endpoint, which comes back cold, and the next process sends it all that waits at once.
+TEST(PersistedState, RestartAndUpgradeKeepSlowStartOfResumedEndpoint) {
+  IndependentEndpoints setup;
+  setup.config["settings"]["obligations"]["cold_s"] = 20.0;
+  setup.config["known"]["members"][0]["size"] = 1.0;  // calls per second
+  setup.start();
+  EXPECT_EQ(setup.program().operate("POST", "/v1/endpoints/s-1/suspend").first, 200);
+  EXPECT_EQ(setup.program().operate("POST", "/v1/endpoints/s-1/resume").first, 200);
+  setup.upgrade();
+  EXPECT_TRUE(setup.makes_no_burst());
+  setup.program().kill();
+  setup.program().start();
+  EXPECT_TRUE(setup.makes_no_burst());
+}
+
 // An endpoint that leaves takes the state of its route with it.
 TEST(PersistedState, ForgetsRouteOfEndpointThatLeft) {
   IndependentEndpoints setup;
