policy: keep waits and outages at a start under settings that regroup routes

What callers would see: a relay that starts under settings by which a kind's endpoints share a route, or stand apart, sent at once to endpoints that had asked to wait (in an upgrade) or were in an outage.

Cause: a restored state belongs to a route that no endpoint uses under the new settings. One of an endpoint was dropped, one of a shared route stayed with a route of nobody.

Change: the endpoints that a restored route was for are put on it, and moved to their present one by leave_route, as at a SIGHUP; several that come together are in an outage only if each of them was.

--- a/policy/policy.cpp
+++ b/policy/policy.cpp
@@ -31,6 +31,7 @@
   now_ = now;
   actions_ = &actions;
   for (const Event& event : events) std::visit([this](const auto& e) { handle(e); }, event);
+  regroup_endpoints();
   message_ordering_.release_expired(now, calls_);
   for (const RouteKey& key : directory_.remove_gone()) route_persistence_.on_changed(key);
   wake_at_ = kNever;
@@ -149,14 +150,34 @@
 
 void Policy::Impl::handle(const RouteState& event) {
   route_persistence_.on_restored(event);
-  const EndpointState* endpoint = directory_.find(event.endpoint);
-  const bool has_own_route = endpoint != nullptr && endpoint->route->key.is_one_endpoint();
-  // Its endpoint may be gone, or share a route by new settings: the caller is told to drop the state.
-  if (event.is_empty() || (event.is_one_endpoint() && !has_own_route)) return;
+  // The endpoint may be gone: then the caller is told to drop its state.
+  const bool is_listed = !event.is_one_endpoint() || directory_.find(event.endpoint) != nullptr;
+  if (event.is_empty() || !is_listed) return;
   Route& route = directory_.get_or_add_route({event.destination, event.endpoint});
   route.restore(event, now_);
   block_route(route, event.blocked_until);
   directory_.observe(route);
+  move_to_restored_route(route);
+}
+
+// Moves the endpoints that the route was for to it, where the present settings give them another one.
+// regroup_endpoints() moves them back, and with them what is known of the route.
+void Policy::Impl::move_to_restored_route(Route& route) {
+  const auto* endpoints = directory_.find_destination(route.key.destination);
+  if (endpoints == nullptr) return;
+  for (const auto& [address, endpoint] : *endpoints) {
+    const bool was_on_route = !route.key.is_one_endpoint() || route.key.endpoint == address;
+    if (!was_on_route || endpoint->route == &route) continue;
+    endpoint->route = &route;
+    endpoints_to_regroup_.insert(address);
+  }
+}
+
+void Policy::Impl::regroup_endpoints() {
+  for (const Endpoint& address : std::exchange(endpoints_to_regroup_, {})) {
+    if (const EndpointState* endpoint = directory_.find(address))
+      update_endpoint(EndpointInfo(endpoint->info));
+  }
 }
 
 void Policy::Impl::handle(const EndpointSlowStartState& event) {
--- a/policy/policy_impl.h
+++ b/policy/policy_impl.h
@@ -103,6 +103,8 @@
   void update_endpoint(const EndpointInfo& info);
   void persist_retry_budget(int number, bool is_needed);
   void persist_slow_start(const EndpointState& endpoint);
+  void move_to_restored_route(Route& route);
+  void regroup_endpoints();
   void leave_route(const Route& former, const EndpointState& endpoint);
   void resume_call(Message& message);
 
@@ -157,7 +159,8 @@
   EndpointDirectory directory_;
   RoutePersistence route_persistence_;
   Destinations destinations_;
-  std::set<int> changed_retry_budgets_;  // destinations to check in persist_state()
+  std::set<int> changed_retry_budgets_;      // destinations to check in persist_state()
+  std::set<Endpoint> endpoints_to_regroup_;  // on restored routes that the present settings do not give them
   std::map<uint64_t, Message> messages_;
   WaitingMessages waiting_;                   // the messages that are not in flight
   std::map<int, Time> blocked_destinations_;  // latest end of a retry-after of the destination's routes
