--- a/tests/relay/discovery_test.cpp
+++ b/tests/relay/discovery_test.cpp
@@ -437,6 +437,36 @@
   EXPECT_EQ(program.wait(), 0);
 }
 
+// Discovery's watch brings each line twice: the list is the one that the last line tells.
+TEST(DiscoveryWatch, KeepsListWhereLinesComeTwice) {
+  testing::Host first;
+  testing::Host second;
+  testing::Discovery discovery;
+  testing::Program program(
+      testing::config_json(discovery.address(), {testing::member_json("s-1", first.address(), 7)}));
+  program.log_at("debug");
+  program.start();
+  const std::string drained = testing::list_json(2, false,
+                                                 {testing::member_json("s-1", first.address(), 7, "leaving"),
+                                                  testing::member_json("s-2", second.address(), 7)})
+                                  .dump();
+  discovery.tell(drained + "\n" + drained);
+  const std::string removed =
+      testing::list_json(3, false, {testing::member_json("s-1", first.address(), 7, "left")}).dump();
+  discovery.tell(removed + "\n" + removed);
+  std::string line;
+  do {
+    line = program.log_line("list");
+  } while (!line.empty() && line.find("revision=3") == std::string::npos);
+  ASSERT_FALSE(line.empty());
+  testing::Socket client = program.client();
+  client.send(testing::put_bytes("m-1", "c=safe,d=60000,k=5c0f6e1a2b3d4c59,dest=7"));
+  EXPECT_EQ(client.line(), "+OK");
+  EXPECT_EQ(second.next().headers.at("x-call-id"), "m-1");
+  second.answer("200");
+  EXPECT_EQ(discovery.watches(), 1);
+}
+
 // An endpoint drains while the connection of a call to it is being established: the call is not started
 // there.
 TEST(Drain, PreventsCallWhoseConnectionIsBeingEstablished) {
--- a/tests/relay/upstream_test.cpp
+++ b/tests/relay/upstream_test.cpp
@@ -38,6 +38,17 @@
     return *ended_;
   }
 
+  // Returns whether a health check succeeds.
+  bool is_healthy(const std::function<void(Host&)>& endpoint_part) {
+    std::thread host([&] { endpoint_part(host_); });
+    checked_.reset();
+    upstream_.check_health({1, 0}, {boost::asio::ip::address_v4::loopback(), host_.port()});
+    io_.restart();
+    while (!checked_) io_.run_one();
+    host.join();
+    return checked_->ok;
+  }
+
   // Sends messages a, b, c, … as one batch and returns their ends in this order.
   std::vector<policy::AttemptEnded> call_batch(const std::function<void(Host&)>& endpoint_part,
                                                std::vector<Time> timeouts,
@@ -83,6 +94,7 @@
   bool may_start_ = true;
   bool call_started_ = false;
   std::optional<policy::AttemptEnded> ended_;
+  std::optional<policy::HealthCheckEnded> checked_;
   std::vector<policy::AttemptEnded> ends_;
   std::atomic<int> ended_count_ = 0;  // read by the endpoint's thread
   uint64_t last_id_ = 0;
@@ -97,7 +109,7 @@
                        ++ended_count_;
                        call_started_ = call_started;
                      },
-                     [](const policy::HealthCheckEnded&) {}};
+                     [this](const policy::HealthCheckEnded& check) { checked_ = check; }};
 };
 
 TEST_F(UpstreamTest, MapsEachResponseToOutcome) {
@@ -378,6 +390,22 @@
   }
 }
 
+// Health checks share connections with calls: what follows the answer to one is not the answer to the other.
+TEST_F(UpstreamTest, TakesNothingBeyondAHealthCheckAnswerForTheNextOne) {
+  const auto answer_with_copy = [](Host& host) {
+    host.next();
+    host.raw(ok_response("hi"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    host.send_unasked(ok_response("hi"));
+  };
+  for (int round = 0; round < 5; ++round) {
+    EXPECT_TRUE(is_healthy(answer_with_copy));
+    EXPECT_EQ(call(answering("429")).outcome, policy::Outcome::kRejected);
+    EXPECT_EQ(call(answer_with_copy).outcome, policy::Outcome::kOk);
+    EXPECT_FALSE(is_healthy(answering("503")));
+  }
+}
+
 TEST_F(UpstreamTest, TakesNothingBeyondABatchAnswerForTheNextOne) {
   const auto answer = [](const std::string& body, const std::string& extra) {
     return [=](Host& host) {
