policy: stop the search for an open route of a destination at the first one

What operators would see: a fifth of a core, of a relay that waits for half of 3,200 routes, went into undeliverable_messages (profile of a relay at 300 messages a second).

Cause: unblocked_at looked at all endpoints of a destination, and its caller only asks whether any is open now, or else when the first will be.

Change: it returns at the first one that is open now.

--- a/policy/final_answers.cpp
+++ b/policy/final_answers.cpp
@@ -70,14 +70,15 @@
   messages_.erase(found);
 }
 
-// Returns when the first of the destination's ready routes is no longer blocked by a retry-after; kNever: no
-// endpoint is ready.
+// Returns when a ready route of the destination is no longer blocked by a retry-after: the first one's time,
+// or any that is not after now. kNever: no endpoint is ready.
 Time Policy::Impl::unblocked_at(int destination) const {
   const auto* endpoints = directory_.find_destination(destination);
   if (endpoints == nullptr) return kNever;
   Time earliest = kNever;
   for (const auto& [address, endpoint] : *endpoints) {
     if (endpoint->is_ready()) earliest = std::min(earliest, endpoint->route->blocked_until());
+    if (earliest <= now_) break;
   }
   return earliest;
 }
