policy: log a route's change of state in fields, with its endpoint

What operators saw: event=decision text="destination 7: outage, calls failed; rate before: 72 calls per minute". Where routes are apart the line did not say which endpoint it is about, and nothing in it could be selected.

Change: the action Log with a text is LogRouteChange with destination, endpoint, state, reason and rate; the relay writes event=route destination=7 host=s-1 state=outage reason="calls failed" rate_before_per_min=72. The simulator's adapter makes the same text of it as before, byte for byte.

Evidence: Wire.WritesRouteChangesAsText (the former texts); three checks of texts in the policy's tests ask for state and reason now.

--- a/include/turntally/actions.h
+++ b/include/turntally/actions.h
@@ -3,6 +3,7 @@
 
 #include <limits>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "turntally/types.h"
@@ -59,9 +60,21 @@
   std::string bytes;
 };
 
-// Writes a line to the log.
-struct Log {
-  std::string text;
+// Tells that the state of a route has changed, for the log.
+struct LogRouteChange {
+  enum class State {
+    kOutage,
+    kSuspicionCleared,  // there was no outage: the calls were only slow
+    kRecovering,        // the slow start begins
+    kRecoveryFailed,    // the outage goes on
+    kWarmedUp           // the slow start is over
+  };
+  int destination = 0;
+  Endpoint endpoint;  // empty: all endpoints of the destination
+  State state = State::kOutage;
+  // With kOutage: the evidence, a literal, and the calls per second that this relay had served.
+  std::string_view reason;
+  double rate_before_outage = 0;
 };
 
 // Replaces the persisted retry budget of the destination.
@@ -81,8 +94,8 @@
   EndpointSlowStartState state;
 };
 
-using Action =
-    std::variant<SendAttempt, Reject, Fail, Cancel, SendHealthCheck, CloseIdleConnections, SetTimer,
-                 OpenListWatch, SendGossip, Log, PersistRetryBudget, PersistRoute, PersistEndpointSlowStart>;
+using Action = std::variant<SendAttempt, Reject, Fail, Cancel, SendHealthCheck, CloseIdleConnections,
+                            SetTimer, OpenListWatch, SendGossip, LogRouteChange, PersistRetryBudget,
+                            PersistRoute, PersistEndpointSlowStart>;
 
 }  // namespace turntally::policy
--- a/policy/route.cpp
+++ b/policy/route.cpp
@@ -9,20 +9,20 @@
 constexpr double kMinAssumedRate = 1.2;  // calls per second of all relays together, without served calls
 constexpr double kMinObservedSeconds = 1;
 
-const char* log_text(OutageDetector::Change change) {
+// `change` is not kNone.
+LogRouteChange::State state_after(OutageDetector::Change change) {
   switch (change) {
     case OutageDetector::Change::kSuspicionCleared:
-      return "suspicion cleared, calls were only slow";
+      return LogRouteChange::State::kSuspicionCleared;
     case OutageDetector::Change::kRecovering:
-      return "recovering, slow start begins";
+      return LogRouteChange::State::kRecovering;
     case OutageDetector::Change::kRecoveryFailed:
-      return "recovery failed";
+      return LogRouteChange::State::kRecoveryFailed;
     case OutageDetector::Change::kWarmedUp:
-      return "warm";
     case OutageDetector::Change::kNone:
       break;
   }
-  return "";
+  return LogRouteChange::State::kWarmedUp;
 }
 
 }  // namespace
@@ -134,18 +134,17 @@
   outage_detector_.begin_outage(own_rate(context), evidence.suspicion_only, context.now);
   slow_start.restart(context);
   trial_calls.discard_passed_health_check();
-  const auto calls_per_minute = std::lround(60 * outage().rate_before_outage);
-  log(std::string("outage, ") + evidence.description + "; rate before: " + std::to_string(calls_per_minute) +
-          " calls per minute",
-      actions);
+  log(LogRouteChange::State::kOutage, evidence.description, actions);
 }
 
-void Route::log(const std::string& text, std::vector<Action>& actions) const {
-  actions.push_back(Log{"destination " + std::to_string(key.destination) + ": " + text});
+void Route::log(LogRouteChange::State state, std::string_view reason, std::vector<Action>& actions) const {
+  const bool begins = state == LogRouteChange::State::kOutage;
+  actions.push_back(
+      LogRouteChange{key.destination, key.endpoint, state, reason, begins ? outage().rate_before_outage : 0});
 }
 
 void Route::log_change(OutageDetector::Change change, std::vector<Action>& actions) const {
-  if (change != OutageDetector::Change::kNone) log(log_text(change), actions);
+  if (change != OutageDetector::Change::kNone) log(state_after(change), "", actions);
 }
 
 }  // namespace turntally::policy
--- a/policy/route.h
+++ b/policy/route.h
@@ -3,7 +3,7 @@
 // on one of them.
 #pragma once
 
-#include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -77,7 +77,7 @@
  private:
   void begin_outage(const OutageDetector::Evidence& evidence, const StepContext& context,
                     std::vector<Action>& actions);
-  void log(const std::string& text, std::vector<Action>& actions) const;
+  void log(LogRouteChange::State state, std::string_view reason, std::vector<Action>& actions) const;
   void log_change(OutageDetector::Change change, std::vector<Action>& actions) const;
 
   Time blocked_until_ = 0;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -127,6 +127,7 @@
   void recover_route(const std::string& endpoint_id, policy::RouteState state);
   void record_route(const policy::RouteState& state);
   void recover_slow_start(const std::string& endpoint_id, policy::EndpointSlowStartState slow_start);
+  void log_route_change(const policy::LogRouteChange& change);
   void record_slow_start(const policy::EndpointSlowStartState& state);
   const ListedEndpoint* find_listed(const Endpoint& endpoint) const;
 
--- a/relay/relay_dispatch.cpp
+++ b/relay/relay_dispatch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
+#include <cmath>
 #include <utility>
 
 #include "net/log.h"
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr Time kMs = 1000;
+constexpr double kSecondsPerMinute = 60;
 
 // Returns the name of an outcome in the log.
 const char* log_name(policy::Outcome outcome) {
@@ -20,6 +22,12 @@
   return kNames[static_cast<size_t>(outcome)];
 }
 
+const char* log_name(policy::LogRouteChange::State state) {
+  constexpr std::array<const char*, 5> kNames = {"outage", "suspicion_cleared", "recovering",
+                                                 "recovery_failed", "warmed_up"};
+  return kNames[static_cast<size_t>(state)];
+}
+
 // Returns the log's name for the way in which a message ended; without a final answer it is settled.
 const char* log_state(const std::optional<FinalAnswer>& answer) {
   if (!answer) return "settled";
@@ -91,11 +99,19 @@
     record_route(persist_route->state);
   } else if (const auto* persist_slow_start = std::get_if<policy::PersistEndpointSlowStart>(&action)) {
     record_slow_start(persist_slow_start->state);
-  } else if (const auto* log = std::get_if<policy::Log>(&action)) {
-    net::log::info("decision", "text", log->text);
+  } else if (const auto* change = std::get_if<policy::LogRouteChange>(&action)) {
+    log_route_change(*change);
   }
 }
 
+void Relay::log_route_change(const policy::LogRouteChange& change) {
+  const ListedEndpoint* listed = directory_.find(change.endpoint);
+  net::log::info("route", "destination", change.destination, "host",
+                 listed == nullptr ? "" : listed->id.c_str(), "state", log_name(change.state), "reason",
+                 change.reason, "rate_before_per_min",
+                 std::lround(kSecondsPerMinute * change.rate_before_outage));
+}
+
 void Relay::send_attempt(const policy::SendAttempt& action) {
   PendingMessage* message = messages_.find(action.id);
   const ListedEndpoint* listed = directory_.find(action.endpoint);
--- a/sim/wire.cpp
+++ b/sim/wire.cpp
@@ -309,6 +309,26 @@
   out.append(text);
 }
 
+std::string text_of(const policy::LogRouteChange& change) {
+  using State = policy::LogRouteChange::State;
+  const std::string route = "destination " + std::to_string(change.destination) + ": ";
+  switch (change.state) {
+    case State::kOutage:
+      return route + "outage, " + std::string(change.reason) +
+             "; rate before: " + std::to_string(std::lround(60 * change.rate_before_outage)) +
+             " calls per minute";
+    case State::kSuspicionCleared:
+      return route + "suspicion cleared, calls were only slow";
+    case State::kRecovering:
+      return route + "recovering, slow start begins";
+    case State::kRecoveryFailed:
+      return route + "recovery failed";
+    case State::kWarmedUp:
+      break;
+  }
+  return route + "warm";
+}
+
 // Writes one action's code and fields.
 struct ActionWriter {
   std::string& out;
@@ -358,9 +378,9 @@
   void operator()(const policy::PersistRetryBudget&) const {}
   void operator()(const policy::PersistRoute&) const {}
   void operator()(const policy::PersistEndpointSlowStart&) const {}
-  void operator()(const policy::Log& a) const {
+  void operator()(const policy::LogRouteChange& a) const {
     put_code(out, ActionCode::kLog);
-    put_text(out, a.text);
+    put_text(out, text_of(a));
   }
 };
 
--- a/tests/policy/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -535,9 +535,10 @@
   std::vector<SendAttempt> slow;
   for (int i = 0; i < 3; ++i)
     slow.push_back(actions_of<SendAttempt>(relay.step(now, {relay.message(++id, now)})).at(0));
-  const auto logs = actions_of<Log>(relay.run_empty_steps(now, now + kSecond));
+  const auto logs = actions_of<LogRouteChange>(relay.run_empty_steps(now, now + kSecond));
   ASSERT_FALSE(logs.empty());
-  EXPECT_NE(logs[0].text.find("calls overdue"), std::string::npos);
+  EXPECT_EQ(logs[0].state, LogRouteChange::State::kOutage);
+  EXPECT_EQ(logs[0].reason, "calls overdue");
   now += kSecond + 100'000;
   relay.step(now, {attempt_ended(slow[0], 0, Outcome::kOk, kSecond)});
   std::vector<Event> events;
@@ -788,7 +789,7 @@
       ++rejects;
       events.push_back(reported(send, attempts[send.id]++, Outcome::kRejected, 0, 100));
     }
-    for (const Log& log : actions_of<Log>(actions)) ADD_FAILURE() << log.text;
+    for (const LogRouteChange& log : actions_of<LogRouteChange>(actions)) ADD_FAILURE() << log.reason;
   }
   EXPECT_GE(rejects, 5);
   EXPECT_LE(rejects, 12);
@@ -1096,7 +1097,7 @@
     ASSERT_EQ(sends.size(), 1u) << id;
     const auto after = relay.step(now + 100'000, {attempt_ended(sends[0], 0, Outcome::kMalformedResponse)});
     EXPECT_EQ(actions_of<Fail>(after).size(), 1u);
-    EXPECT_TRUE(actions_of<Log>(after).empty());
+    EXPECT_TRUE(actions_of<LogRouteChange>(after).empty());
     now += kSecond;
   }
 }
--- a/tests/policy/slow_start_budget_test.cpp
+++ b/tests/policy/slow_start_budget_test.cpp
@@ -335,8 +335,8 @@
   relay.step(at, {attempt_ended(call[0], 0, Outcome::kTimeout, call[0].timeout)});
   const auto again = relay.run_empty_steps(at + 10'000, at + 5 * kSecond);
   EXPECT_EQ(actions_of<SendAttempt>(again).size(), 1u);
-  ASSERT_EQ(actions_of<Log>(again).size(), 1u);
-  EXPECT_NE(actions_of<Log>(again)[0].text.find("calls overdue"), std::string::npos);
+  ASSERT_EQ(actions_of<LogRouteChange>(again).size(), 1u);
+  EXPECT_EQ(actions_of<LogRouteChange>(again)[0].reason, "calls overdue");
 }
 
 // A served call that was sent before a failure is no evidence about the time after the failure: messages that
--- a/tests/relay/persisted_state_test.cpp
+++ b/tests/relay/persisted_state_test.cpp
@@ -133,7 +133,7 @@
       std::this_thread::sleep_for(milliseconds(200));
     }
     while (host.has_another_caller(kNoCallMs)) fail_call();
-    ASSERT_NE(program().log_line("decision").find("outage, calls failed"), std::string::npos);
+    ASSERT_NE(program().log_line("route").find(R"(state=outage reason="calls failed")"), std::string::npos);
   }
   void fail_call() {
     host.next();
--- a/tests/sim/wire_test.cpp
+++ b/tests/sim/wire_test.cpp
@@ -129,21 +129,39 @@
       policy::SendAttempt{0x000ae1aa5d3a91c4, {0x0a124a07, 0x1b5b}, 80'000}, policy::SetTimer{77, 8'912'250}};
   out.add_actions(3, actions);
   out.add_actions(4, {});
-  const std::vector<policy::Action> more = {policy::Reject{5, 300'000},
-                                            policy::Fail{6},
-                                            policy::Cancel{7, 1},
-                                            policy::SendHealthCheck{{1, 2}},
-                                            policy::CloseIdleConnections{{1, 2}},
-                                            policy::OpenListWatch{},
-                                            policy::Log{"hi"},
-                                            policy::SendGossip{"hi"}};
+  const std::vector<policy::Action> more = {
+      policy::Reject{5, 300'000},
+      policy::Fail{6},
+      policy::Cancel{7, 1},
+      policy::SendHealthCheck{{1, 2}},
+      policy::CloseIdleConnections{{1, 2}},
+      policy::OpenListWatch{},
+      policy::LogRouteChange{3, {}, policy::LogRouteChange::State::kWarmedUp, "", 0},
+      policy::SendGossip{"hi"}};
   out.add_actions(5, more);
-  EXPECT_EQ(out.frame(), bytes("0000006e 0000000c"
+  EXPECT_EQ(out.frame(), bytes("0000007f 0000000c"
                                "04 0003 07 000ae1aa5d3a91c4 0a124a07 1b5b 3fb47ae147ae147b"
                                "03 000000000000004d 4021d3126e978d50"
                                "04 0005 02 0000000000000005 3fd3333333333333 0c 0000000000000006"
                                "05 0000000000000007 01 0d 00000001 0002 01 00000001 0002 08 01"
-                               "0a 0002 6869 0b ffff 0002 6869"));
+                               "0a 0013 64657374696e6174696f6e20333a207761726d 0b ffff 0002 6869"));
+}
+
+TEST(Wire, WritesRouteChangesAsText) {
+  using State = policy::LogRouteChange::State;
+  const std::pair<policy::LogRouteChange, std::string> cases[] = {
+      {{3, {}, State::kOutage, "calls failed", 1.2},
+       "outage, calls failed; rate before: 72 calls per minute"},
+      {{3, {1, 2}, State::kSuspicionCleared, "", 0}, "suspicion cleared, calls were only slow"},
+      {{3, {}, State::kRecovering, "", 0}, "recovering, slow start begins"},
+      {{3, {}, State::kRecoveryFailed, "", 0}, "recovery failed"},
+      {{3, {}, State::kWarmedUp, "", 0}, "warm"}};
+  for (const auto& [change, text] : cases) {
+    Encoder out;
+    const std::vector<policy::Action> actions = {change};
+    out.add_actions(1, actions);
+    EXPECT_TRUE(out.frame().ends_with("destination 3: " + text)) << text;
+  }
 }
 
 TEST(Wire, WritesPanicWithInstance) {
