lab: good answers that bring more than belongs to them, in every scenario

Endpoints, and discovery for lists and notices, send a second copy, another status, half a status line or noise of up to 100 kB in one write with a share of their good answers; a line of a watch comes twice. The report counts them.

Evidence: ExtraBytes.AreDrawnFromTheSeedBehindTheAnswer.

--- a/lab/discovery_agent.cpp
+++ b/lab/discovery_agent.cpp
@@ -141,14 +141,17 @@
   }
 
   void answer(unsigned status, const std::string& body) {
-    response_ = {};
-    response_.version(11);
-    response_.result(status);
-    response_.body() = body;
-    response_.prepare_payload();
-    http::async_write(socket_, response_, [self = shared_from_this()](const Error& error, size_t) {
-      error ? self->end() : self->read();
-    });
+    http::response<http::string_body> response;
+    response.version(11);
+    response.result(status);
+    response.body() = body;
+    response.prepare_payload();
+    std::ostringstream text;
+    text << response;
+    response_ = status < 300 ? owner_->world_.extra_bytes.with_extra(text.str()) : text.str();
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(response_),
+        [self = shared_from_this()](const Error& error, size_t) { error ? self->end() : self->read(); });
   }
 
   // As the scenario wants it written. All forms are the same JSON.
@@ -218,7 +221,8 @@
           self->owner_->member(self->relay_, change.place, change.phase, change.up_since_ms));
       self->note_told(change.place, change.phase);
       self->note_heard(change.revision);
-      self->write(self->chunks(line));
+      const bool twice = self->owner_->world_.extra_bytes.tells_twice();
+      self->write(self->chunks(line) + (twice ? self->chunks(line) : ""));
       if (!self->pending_.empty()) self->wait_for_change();
     });
   }
@@ -248,7 +252,7 @@
   std::string writing_;
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
-  http::response<http::string_body> response_;
+  std::string response_;
 };
 
 DiscoveryAgent::DiscoveryAgent(SimulatedFleet& world)
--- a/lab/endpoints.cpp
+++ b/lab/endpoints.cpp
@@ -2,9 +2,11 @@
 
 #include <sys/socket.h>
 
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <sstream>
 
 namespace turntally::lab {
 namespace {
@@ -77,18 +79,21 @@
     }
     answer.prepare_payload();
     if (out.status == 429 || out.status == 503) ++owner_->refused_;
-    answer_ = std::move(answer);
-    http::async_write(socket_, answer_,
-                      [self = shared_from_this(), fate, wait = out.wait_s](const Error& error, size_t) {
-                        if (self->owner_ == nullptr) return;
-                        if (error) return self->end();
-                        for (const int message : self->messages_) {
-                          self->note(What::kAnswer, message, fate, wait);
-                          self->owner_->out_.erase(message);
-                        }
-                        self->messages_.clear();
-                        self->read();
-                      });
+    std::ostringstream text;
+    text << answer;
+    answer_ = out.status == 200 ? owner_->world_.extra_bytes.with_extra(text.str()) : text.str();
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(answer_),
+        [self = shared_from_this(), fate, wait = out.wait_s](const Error& error, size_t) {
+          if (self->owner_ == nullptr) return;
+          if (error) return self->end();
+          for (const int message : self->messages_) {
+            self->note(What::kAnswer, message, fate, wait);
+            self->owner_->out_.erase(message);
+          }
+          self->messages_.clear();
+          self->read();
+        });
   }
 
   // Work on it begins.
@@ -195,7 +200,7 @@
   std::vector<int> messages_;
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
-  http::response<http::string_body> answer_;
+  std::string answer_;
 };
 
 Endpoints::Site::Site(SimulatedFleet& world, int number)
--- a/lab/report.cpp
+++ b/lab/report.cpp
@@ -191,6 +191,7 @@
   row("connections made to endpoints", std::to_string(f.connections));
   row("calls to discovery for lists, of these failed",
       std::to_string(f.list_calls) + ", " + std::to_string(f.list_failed));
+  row("good answers that brought more than belongs to them", std::to_string(f.extra_answers));
   row("watches at the registry", std::to_string(f.registry_watches));
   row("seconds until a relay had the newest list: p50, p99, most; times, and never",
       round_to(f.list.p50, 3) + ", " + round_to(f.list.p99, 3) + ", " + round_to(f.list.most, 3) + "; " +
@@ -303,6 +304,7 @@
   out.fallen = played.fallen;
   out.list_calls = played.list_calls;
   out.list_failed = played.list_failed;
+  out.extra_answers = played.extra_answers;
   out.registry_watches = played.registry_watches;
   list_waits(scenario, played.history, out);
   out.late_lab = played.late;
@@ -332,6 +334,7 @@
           {"fallen", f.fallen},
           {"list_calls", f.list_calls},
           {"list_failed", f.list_failed},
+          {"extra_answers", f.extra_answers},
           {"registry_watches", f.registry_watches},
           {"list_s",
            {{"p50", f.list.p50},
--- a/lab/report.h
+++ b/lab/report.h
@@ -35,6 +35,7 @@
   size_t fallen = 0;
   size_t list_calls = 0;
   size_t list_failed = 0;
+  size_t extra_answers = 0;
   size_t registry_watches = 0;
   Latency list;             // until a relay that started, or whose list changed, was told the newest
   size_t lists = 0;         // so many times
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -148,6 +148,10 @@
     registry.refuse_unknown_keys();
   }
 
+  const Section answers = root.table("answers");
+  out.extra_bytes = answers.number("extra_bytes", out.extra_bytes, 0, 1);
+  answers.refuse_unknown_keys();
+
   const Section recovery = root.table("recovery");
   out.cold_s = recovery.number("cold_s", out.cold_s, 0, 600);
   out.start_capacity = recovery.number("start_capacity", out.start_capacity, 0.01, 1);
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -127,6 +127,8 @@
                                         // blank lines between, or in pieces that break anywhere
   int registry_members = 0;             // of a registry that the relays follow; 0: they follow discovery
 
+  double extra_bytes = 0.02;  // share of the good answers that bring more than belongs to them
+
   double cold_s = 12;
   double start_capacity = 0.29;
   double fall_multiple = 1.5;
--- a/lab/scenario_runner.cpp
+++ b/lab/scenario_runner.cpp
@@ -113,6 +113,7 @@
     out.fallen = endpoints_.fallen();
     out.list_calls = platform_.calls().all;
     out.list_failed = platform_.calls().failed;
+    out.extra_answers = world_.extra_bytes.count();
     out.registry_watches = fleet_ ? fleet_->watches() : 0;
     out.unfinished = unfinished_;
     return out;
--- a/lab/scenario_runner.h
+++ b/lab/scenario_runner.h
@@ -29,10 +29,11 @@
   double seconds = 0;  // that it took
   double lab_cpu_s = 0;
   double relays_cpu_s = 0;
-  size_t connections = 0;  // made to endpoints
-  size_t fallen = 0;       // receivers pushed over
-  size_t list_calls = 0;   // to discovery
-  size_t list_failed = 0;  // of these, that waited too long or found it down
+  size_t connections = 0;    // made to endpoints
+  size_t fallen = 0;         // receivers pushed over
+  size_t list_calls = 0;     // to discovery
+  size_t list_failed = 0;    // of these, that waited too long or found it down
+  size_t extra_answers = 0;  // good answers that brought more than belongs to them
   size_t registry_watches = 0;
   size_t unfinished = 0;  // messages taken on that had no end when the run was over
 };
--- a/lab/simulated_fleet.cpp
+++ b/lab/simulated_fleet.cpp
@@ -38,7 +38,7 @@
 }
 
 SimulatedFleet::SimulatedFleet(boost::asio::io_context& context, const Scenario& what, const Plan& drawn)
-    : io(context), scenario(what), plan(drawn), block_(context) {
+    : io(context), scenario(what), plan(drawn), extra_bytes(what.extra_bytes, drawn.seed), block_(context) {
   for (size_t r = 0; r < plan.receivers.size(); ++r) {
     first_.push_back(places_.size());
     for (size_t e = 0; e < plan.receivers[r].endpoints.size(); ++e) {
--- a/lab/simulated_fleet.h
+++ b/lab/simulated_fleet.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "lab/extra_bytes.h"
 #include "lab/history.h"
 #include "lab/link.h"
 #include "lab/plan.h"
@@ -83,6 +84,7 @@
   const Scenario& scenario;
   const Plan& plan;
   History history;
+  ExtraBytes extra_bytes;
 
  private:
   Block block_;
--- a/tests/lab/lab_test.cpp
+++ b/tests/lab/lab_test.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 
 #include "lab/compare.h"
+#include "lab/extra_bytes.h"
 #include "lab/process.h"
 #include "lab/receiver.h"
 
@@ -85,6 +86,23 @@
   EXPECT_FALSE(draw_plan(s, 7).faults.empty());
 }
 
+TEST(ExtraBytes, AreDrawnFromTheSeedBehindTheAnswer) {
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  ExtraBytes one(0.5, 7);
+  ExtraBytes same(0.5, 7);
+  size_t longer = 0;
+  for (int i = 0; i < 200; ++i) {
+    const std::string text = one.with_extra(answer);
+    EXPECT_EQ(text, same.with_extra(answer));
+    EXPECT_TRUE(text.starts_with(answer));
+    longer += text.size() > answer.size() ? 1 : 0;
+  }
+  EXPECT_EQ(longer, one.count());
+  EXPECT_GT(longer, 60u);
+  EXPECT_LT(longer, 140u);
+  EXPECT_EQ(ExtraBytes(0, 7).with_extra(answer), answer);
+}
+
 // A receiver of one endpoint with a plain limit of 10 a second.
 struct Small {
   Scenario scenario = parse_scenario("s", kPlain);
