registry: keep a member's id where the disk is full at its start

What operators would have seen: a member that starts on a full disk ends, and once there is room it asks to join instead of coming back as the member that it was.

Cause: each start wrote the id anew, and renamed the new file over the old one whether or not it had been written.

Change: nothing is written if the folder has the id, and only a file that was written whole takes the place of the one before. The file has a module of its own.

--- a/registry/service.cpp
+++ b/registry/service.cpp
@@ -1,39 +1,19 @@
 #include "registry/service.h"
 
 #include <filesystem>
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "net/address.h"
 #include "net/log.h"
+#include "registry/member_id_file.h"
 #include "registry/status_report.h"
 
 namespace turntally::registry {
 namespace {
 
-namespace fs = std::filesystem;
 namespace log = net::log;
 
-// Returns the path of the file in which a member stores its id in the log.
-std::string id_path(const std::string& folder) { return folder + "/member"; }
-
-MemberId read_id(const std::string& folder) {
-  MemberId id = 0;
-  std::ifstream(id_path(folder)) >> id;
-  return id;
-}
-
-bool write_id(const std::string& folder, MemberId id) {
-  const std::string path = id_path(folder);
-  std::ofstream file(path + ".new");
-  file << id << "\n";
-  file.close();
-  std::error_code error;
-  fs::rename(path + ".new", path, error);
-  return file && !error;
-}
-
 }  // namespace
 
 Service::Service(boost::asio::io_context& io, Config config, std::function<void(const std::string&)> fatal)
@@ -45,7 +25,7 @@
       memberships_(member_, writes_),
       routes_(member_, writes_, reads_, memberships_, broadcaster_, server_) {
   const Config& settings = member_.config;
-  fs::create_directories(settings.folder);
+  std::filesystem::create_directories(settings.folder);
   const std::string listen = settings.http_listen.empty() ? settings.self().http : settings.http_listen;
   server_ =
       std::make_unique<net::HttpServer>(io, net::parse_address(listen), net::HttpLimits{},
@@ -53,7 +33,7 @@
                                           routes_.handle(request, responder);
                                         });
   log::info("listening", "http", listen, "member", settings.member, "folder", settings.folder);
-  if (const MemberId id = read_id(settings.folder); id != 0) {
+  if (const MemberId id = read_member_id(settings.folder); id != 0) {
     open_log(id, false);
   } else {
     ClusterJoin::Listener listener;
@@ -72,7 +52,8 @@
 void Service::open_log(MemberId id, bool bootstrap) {
   const std::string& folder = member_.config.folder;
   member_.id = id;
-  if (!write_id(folder, id)) member_.fatal(id_path(folder) + ": the member's id cannot be written");
+  if (!store_member_id(folder, id))
+    member_.fatal(member_id_file(folder).string() + ": the member's id cannot be written");
   log::info("log_opening", "id", id, "bootstrap", bootstrap ? 1 : 0);
   replica_ = std::make_unique<Replica>(member_.io, replica_settings(bootstrap), replica_listener());
   member_.replica = replica_.get();
