tests, relay: one set-up for upgrades ahead of the watch, comments by effect

Two tests of the handover shared twelve lines of set-up, and two of JsonStream a loop. Five comments of this change began with the situation. No check and no behaviour changes.

--- a/relay/kept_connection.h
+++ b/relay/kept_connection.h
@@ -6,8 +6,8 @@
 
 namespace turntally::relay {
 
-// What a peer sends beyond its response arrives within this time. A request that is sent earlier could take
-// it for its own response.
+// Pause before a kept connection is used again: bytes that a peer sends beyond its response have arrived by
+// then, and are not taken for the response to the next request.
 constexpr net::Time kReuseDelay = 2 * 1000;
 
 // Acknowledges the response at once. A peer that may not send a small write before its last one is
@@ -15,7 +15,7 @@
 // acknowledgement for tens of milliseconds to let it go with data.
 void acknowledge_response(net::Stream& stream);
 
-// What there is to read on a connection on which nothing is expected.
+// Input on a connection on which none is expected.
 enum class UnexpectedInput {
   kNone,
   kBytes,
--- a/relay/persisted_state.h
+++ b/relay/persisted_state.h
@@ -21,8 +21,8 @@
  public:
   PersistedState(Journal& journal, const DurableClock& clock);
 
-  // What the previous process has left. Routes and slow starts are by endpoint id, which is empty for a
-  // shared route; the handle of the endpoint is not set.
+  // Return the states that the previous process has left. Routes and slow starts are by endpoint id, which is
+  // empty for a shared route; the handle of the endpoint is not set.
   std::vector<policy::RetryBudgetState> recovered_budgets() const;
   std::multimap<std::string, policy::RouteState> recovered_routes() const;
   std::map<std::string, policy::EndpointSlowStartState> recovered_slow_starts() const;
--- a/tests/net/extra_bytes_test.cpp
+++ b/tests/net/extra_bytes_test.cpp
@@ -97,9 +97,8 @@
   return out;
 }
 
-// Watches of relays, of the registry's client and of the mirror: behind the last chunk.
-TEST(JsonStream, TakesNothingBeyondTheLastChunk) {
-  const std::string text = kWatchHead + http_chunk(kLine + "\n") + kLastChunk;
+// Reads streams of this text, with a copy or noise behind it, and expects the line and the end of each.
+void expect_line_before_noise(const std::string& text) {
   const auto answers = answers_with_noise(text, text);
   NoisyServer server(answers);
   for (const NoisyServer::Answer& answer : answers) {
@@ -110,19 +109,14 @@
   }
 }
 
-// Noise that is no chunk, behind one that was good: the line counts, and the stream is opened anew.
-TEST(JsonStream, EndsAtNoiseBehindAChunk) {
-  const std::string text = kWatchHead + http_chunk(kLine + "\n");
-  const auto answers = answers_with_noise(text, text);
-  NoisyServer server(answers);
-  for (const NoisyServer::Answer& answer : answers) {
-    SCOPED_TRACE(answer.noise.substr(0, 12) + " after " + std::to_string(answer.delay.count()) + " ms");
-    const StreamEnd end = read_stream(server.address());
-    EXPECT_EQ(end.reason, JsonStream::EndReason::kEnded);
-    EXPECT_EQ(end.texts, std::vector<std::string>{kLine});
-  }
+// Watches of relays, of the registry's client and of the mirror: behind the last chunk.
+TEST(JsonStream, TakesNothingBeyondTheLastChunk) {
+  expect_line_before_noise(kWatchHead + http_chunk(kLine + "\n") + kLastChunk);
 }
 
+// Noise that is no chunk, behind one that was good: the line counts, and the stream is opened anew.
+TEST(JsonStream, EndsAtNoiseBehindAChunk) { expect_line_before_noise(kWatchHead + http_chunk(kLine + "\n")); }
+
 // Noise within a chunk, behind a good line: the line counts, and the stream is opened anew.
 TEST(JsonStream, EndsAtNoiseBehindALine) {
   const std::string noisy_line = http_chunk(kLine + "\nHTTP/1.1 500 x\r\n\r\n");
--- a/tests/policy/route_persistence_test.cpp
+++ b/tests/policy/route_persistence_test.cpp
@@ -20,7 +20,7 @@
   return {std::make_shared<const Settings>(settings), {}};
 }
 
-// What a caller has persisted, in the order in which it returns it.
+// The states that a caller has persisted, in the order in which it returns them.
 struct Persisted {
   std::map<int, RetryBudgetState> budgets;
   std::map<Endpoint, RouteState> routes;
@@ -235,7 +235,7 @@
   }
 }
 
-// One endpoint of two is out: together with the other it is no outage of the destination.
+// An endpoint of two is out: together with the other it is no outage of the destination.
 TEST(RoutePersistence, NewSettingsKeepNoOutageOfOneEndpointAmongOthers) {
   CheckedPolicy policy(default_settings());
   Persisted persisted = play_outage(policy, two_independent_endpoints(), {1}, 8 * kSecond);
--- a/tests/relay/handover_test.cpp
+++ b/tests/relay/handover_test.cpp
@@ -561,20 +561,25 @@
   return !line.empty();
 }
 
-// A relay of a large fleet opens its watch up to 3.8 s after its start. What discovery told meanwhile reached
-// neither process, and an endpoint that had begun to leave got calls.
-TEST(Handover, PassesOnListThatComesBeforeSuccessorWatches) {
-  HandoverFixture s;
-  Host other;
+// Upgrades a relay of a large fleet. The successor's watch comes 3.7 s after its start.
+void upgrade_ahead_of_watch(HandoverFixture& s) {
   s.config["settings"]["siblings"] = 30;
   s.config["settings"]["discovery"] = "ask";
   s.start();
   while (s.discovery.watches() == 0) std::this_thread::sleep_for(std::chrono::milliseconds(10));
-  s.config["seed"] = "1b";  // its watch comes 3.7 s after its start
+  s.config["seed"] = "1b";  // the draw of the watch's delay depends on it
   s.next.emplace(s.config);
   s.next->share_state_of(*s.program);
   s.next->log_at("debug");
   s.next->start();
+}
+
+// A relay of a large fleet opens its watch up to 3.8 s after its start. Lists that discovery told meanwhile
+// reached neither process, and an endpoint that had begun to leave got calls.
+TEST(Handover, PassesOnListThatComesBeforeSuccessorWatches) {
+  HandoverFixture s;
+  Host other;
+  upgrade_ahead_of_watch(s);
   s.program->signal(SIGTERM);
   s.discovery.tell(list_json(
       2, false,
@@ -594,15 +599,7 @@
 TEST(Handover, PassesOnLongListAheadOfItsNextChange) {
   HandoverFixture s;
   Host other;
-  s.config["settings"]["siblings"] = 30;
-  s.config["settings"]["discovery"] = "ask";
-  s.start();
-  while (s.discovery.watches() == 0) std::this_thread::sleep_for(std::chrono::milliseconds(10));
-  s.config["seed"] = "1b";  // its watch comes 3.7 s after its start
-  s.next.emplace(s.config);
-  s.next->share_state_of(*s.program);
-  s.next->log_at("debug");
-  s.next->start();
+  upgrade_ahead_of_watch(s);
   std::vector<nlohmann::json> zone = {member_json("s-1", s.host.address(), 7, "leaving")};
   for (int i = 0; i < 2000; ++i) zone.push_back(member_json("zone-" + std::to_string(i), other.address(), 8));
   s.discovery.tell(list_json(2, false, zone));
