--- a/tests/support/peers.cpp
+++ b/tests/support/peers.cpp
@@ -342,7 +342,7 @@
       ::setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
       ::setenv("LD_PRELOAD", SYSTEM_FAULTS, 1);
     }
-    ::execl(TURNTALLY_RELAY, TURNTALLY_RELAY, "--log-level", level_.c_str(), nullptr);
+    ::execl(program_.c_str(), program_.c_str(), "--log-level", level_.c_str(), nullptr);
     ::_exit(127);
   }
   ::close(pipe[1]);
@@ -411,6 +411,18 @@
   return out;
 }
 
+size_t Program::status_bytes(const std::string& name) const {
+  std::ifstream in("/proc/" + std::to_string(child_) + "/status");
+  for (std::string line; std::getline(in, line);) {
+    if (line.starts_with(name + ":")) return 1024 * std::stoul(line.substr(name.size() + 1));
+  }
+  return 0;
+}
+
+size_t Program::peak_bytes() const { return status_bytes("VmHWM"); }
+
+size_t Program::resident_bytes() const { return status_bytes("VmRSS"); }
+
 void Program::signal(int number) { ::kill(child_, number); }
 
 int Program::wait() {
--- a/tests/support/peers.h
+++ b/tests/support/peers.h
@@ -150,6 +150,10 @@
     state_ = before.state();
   }                                                          // shares the predecessor's state folder
   void log_at(const std::string& level) { level_ = level; }  // from the next start on
+  // Runs the relay as it is in service, without sanitizers, from the next start on.
+  void use_release_build() { program_ = TURNTALLY_RELEASE_RELAY; }
+  size_t peak_bytes() const;      // the highest resident set of the process so far
+  size_t resident_bytes() const;  // its resident set now; 0 once it has ended
   void inject(const SystemFaults& faults) { faults_ = faults.file(); }  // from the next start on
   // Replaces the configuration file, which is read at start and on SIGHUP.
   void configure(const std::string& text);
@@ -171,10 +175,12 @@
 
  private:
   void launch(int descriptors);
+  size_t status_bytes(const std::string& name) const;  // a size in /proc/PID/status
 
   std::filesystem::path folder_;
   std::filesystem::path state_;
   std::string level_ = "info";
+  std::string program_ = TURNTALLY_RELAY;
   std::string faults_;  // file of the system faults to inject; empty: none
   pid_t child_ = -1;
   uint16_t port_ = 0;
