relay: log and count ends of processes, closes, refusals and memory held

Each way a process ends has a last line (ended: stopped, handed_over, or the signal of a fault; a process that was killed has none). The resident set, the limit, descriptors and what each use holds are metrics, and a line when the set passes half, three quarters and seven eighths of the limit. Each close has a reason, peer, age, bytes read and owed; each refusal its reason and message id. Lines of each kind are bounded to five a second, with a count of those left out.

limits.memory_mb is read and checked; nothing acts on it yet.

--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -46,7 +46,7 @@
   try {
     words = parser_.next_command();
   } catch (const RespError& error) {
-    return reject("-ERR protocol error: " + std::string(error.what()));
+    return reject("-ERR protocol error: " + std::string(error.what()), CloseReason::kProtocolError);
   }
   if (words) {
     command_since_ = 0;
@@ -104,13 +104,14 @@
       (!has_sent_command_ && command_age >= kMinFirstCommandTime && now - since_ >= kMaxInitialIdle);
   // Received bytes are handled first: this process may have been suspended.
   if (is_late && is_input_empty()) {
-    reject("-ERR the command took too long");
+    reject("-ERR the command took too long", CloseReason::kCommandTooSlow);
   } else if (state_ == State::kReading && !has_sent_command_ && command_since_ == 0 &&
              now - since_ >= kMaxInitialIdle && is_input_empty()) {
-    linger();
-  } else if ((state_ == State::kWriting && now - since_ >= kMaxWriteTime) ||
-             (state_ == State::kLingering && now - since_ >= max_linger)) {
-    close();
+    linger(CloseReason::kSilent);
+  } else if (state_ == State::kWriting && now - since_ >= kMaxWriteTime) {
+    close(CloseReason::kAnswerUnread);
+  } else if (state_ == State::kLingering && now - since_ >= max_linger) {
+    close(CloseReason::kIdle);
   }
 }
 
@@ -126,7 +127,12 @@
   return stream_.socket().available(error) == 0 || error;
 }
 
-void Clients::Session::linger() {
+void Clients::Session::note_end(CloseReason reason) {
+  if (!end_reason_) end_reason_ = reason;
+}
+
+void Clients::Session::linger(CloseReason reason) {
+  note_end(reason);
   boost::system::error_code ignored;
   stream_.socket().cancel(ignored);
   stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -136,8 +142,14 @@
   continue_linger();
 }
 
-void Clients::Session::close() {
+void Clients::Session::close(CloseReason reason) {
+  note_end(reason);
   boost::system::error_code ignored;
+  if (owner_ != nullptr) {
+    const tcp::endpoint peer = stream_.socket().remote_endpoint(ignored);
+    owner_->resources_.log->note_close(
+        {*end_reason_, net::text_of(peer), (steady_now() - opened_at_) / 1000, bytes_read_, answer_.size()});
+  }
   stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
   stream_.socket().close(ignored);
   state_ = State::kClosed;
@@ -146,14 +158,15 @@
 
 void Clients::Session::on_readable(const boost::system::error_code& error) {
   if (owner_ == nullptr || state_ != State::kReading || !owner_->reading_) return;
-  if (error && error != boost::asio::error::operation_aborted) return close();
-  if (error && is_input_empty()) return linger();
+  if (error && error != boost::asio::error::operation_aborted) return close(CloseReason::kClosedByClient);
+  if (error && is_input_empty()) return linger(CloseReason::kDraining);
   boost::system::error_code read_error;
   const size_t count = stream_.read_some(boost::asio::buffer(owner_->read_buffer_), read_error);
   if (read_error == boost::asio::error::would_block) return proceed();
-  if (count == 0) return close();
+  if (count == 0) return close(CloseReason::kClosedByClient);
+  bytes_read_ += count;
   const Time time_waiting = time_in_socket();
-  if (time_waiting >= kClientTimeout && peer_closed()) return close();
+  if (time_waiting >= kClientTimeout && peer_closed()) return close(CloseReason::kClosedByClient);
   received_at_ = steady_now() - time_waiting;
   parser_.feed({owner_->read_buffer_.data(), count});
   proceed();
@@ -201,17 +214,18 @@
   answer_ = std::move(line) + "\r\n";
   state_ = State::kWriting;
   since_ = steady_now();
-  boost::asio::async_write(stream_, boost::asio::buffer(answer_),
-                           [self = shared_from_this()](auto error, size_t) {
-                             if (self->owner_ == nullptr) return;
-                             if (error) return self->close();
-                             std::string().swap(self->answer_);
-                             self->since_ = steady_now();
-                             self->closing_after_answer_ ? self->linger() : self->proceed();
-                           });
-}
-
-void Clients::Session::reject(const std::string& line) {
+  boost::asio::async_write(
+      stream_, boost::asio::buffer(answer_), [self = shared_from_this()](auto error, size_t) {
+        if (self->owner_ == nullptr) return;
+        if (error) return self->close(CloseReason::kClosedByClient);
+        std::string().swap(self->answer_);
+        self->since_ = steady_now();
+        self->closing_after_answer_ ? self->linger(CloseReason::kProtocolError) : self->proceed();
+      });
+}
+
+void Clients::Session::reject(const std::string& line, CloseReason reason) {
+  note_end(reason);
   closing_after_answer_ = true;
   answer(line);
 }
@@ -220,12 +234,13 @@
   stream_.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](auto error) {
     if (self->owner_ == nullptr || self->state_ != State::kLingering) return;
     if (error == boost::asio::error::operation_aborted) return self->continue_linger();
-    if (error) return self->close();
+    if (error) return self->close(CloseReason::kClosedByClient);
     const ssize_t received =
         ::recv(self->stream_.socket().native_handle(), nullptr, kDiscardBytes, MSG_TRUNC | MSG_DONTWAIT);
     if (received > 0) self->discarded_bytes_ += static_cast<size_t>(received);
     const bool empty = received < 0 && (errno == EAGAIN || errno == EINTR);
-    if ((received <= 0 && !empty) || self->discarded_bytes_ > kMaxDiscardedBytes) return self->close();
+    if ((received <= 0 && !empty) || self->discarded_bytes_ > kMaxDiscardedBytes)
+      return self->close(CloseReason::kClosedByClient);
     self->continue_linger();
   });
 }
--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -3,9 +3,11 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "net/address.h"
 #include "net/stream.h"
 #include "relay/clients.h"
 #include "relay/resp.h"
@@ -56,8 +58,9 @@
   // Shuts down the sending side and discards what still arrives until the client closes too or a limit is
   // reached. A close with unread bytes would send a reset, which may overtake the last answer, and bytes may
   // arrive at any moment. No request is handled after that: its client submits it again elsewhere.
-  void linger();
-  void close();
+  void linger(CloseReason reason);
+  // Closes the connection. The reason counts unless an earlier one began its end.
+  void close(CloseReason reason);
 
  private:
   enum class State { kReading, kServing, kWriting, kLingering, kClosed };
@@ -72,7 +75,8 @@
   void handle(const std::vector<std::string>& words);
   void answer(std::string line);
   // Answers with an error and then closes the connection, as what follows cannot be parsed.
-  void reject(const std::string& line);
+  void reject(const std::string& line, CloseReason reason);
+  void note_end(CloseReason reason);
   void continue_linger();
 
   Clients* owner_;
@@ -84,6 +88,9 @@
   Time received_at_ = 0;    // when the newest byte arrived
   Time command_since_ = 0;  // when the first byte of an unfinished command was read; 0: none has begun
   size_t discarded_bytes_ = 0;
+  uint64_t bytes_read_ = 0;
+  Time opened_at_ = since_;
+  std::optional<CloseReason> end_reason_;  // set once the connection's end has begun
   bool has_sent_command_ = false;
   bool closing_after_answer_ = false;
 };
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -26,14 +26,15 @@
 }  // namespace
 
 Clients::Clients(boost::asio::io_context& io, const tcp::endpoint& listen, size_t max_sessions,
-                 SubmitHandler submit, int listener)
+                 SubmitHandler submit, int listener, ClientResources resources)
     : io_(io),
       protocol_(listen.protocol()),
       acceptor_(io),
       accept_timer_(io),
       sweep_timer_(io),
       max_sessions_(max_sessions),
-      submit_(std::move(submit)) {
+      submit_(std::move(submit)),
+      resources_(std::move(resources)) {
   if (listener >= 0) {
     acceptor_.assign(listen.protocol(), listener);
   } else {
@@ -148,7 +149,7 @@
   for (const auto& [idle_time, session] : idle) {
     if (closing >= wanted) break;
     if (!session->is_input_empty()) continue;
-    session->linger();
+    session->linger(session->has_sent_command() ? CloseReason::kIdle : CloseReason::kSilent);
     ++closing;
   }
 }
@@ -160,7 +161,7 @@
   for (auto next = sessions_.begin(); next != sessions_.end() && sessions_.size() >= max_sessions;) {
     const auto session = *next++;
     if (session->is_lingering() && session->closable_for(now, false) >= 0 && session->is_input_empty())
-      session->close();
+      session->close(CloseReason::kIdle);
   }
   accepting_ = accepting;
 }
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <memory>
 
+#include "relay/connection_log.h"
 #include "relay/directory.h"
 #include "relay/handover.h"
 #include "relay/handover_frames.h"
@@ -16,6 +17,11 @@
 
 namespace turntally::relay {
 
+// What the connections of clients share with the rest of the relay.
+struct ClientResources {
+  std::shared_ptr<ConnectionLog> log = std::make_shared<ConnectionLog>();
+};
+
 class Clients {
  public:
   using AnswerHandler =
@@ -28,7 +34,7 @@
   // Starts listening, or takes over `listener` unless it is negative, and serves at most `max_sessions`
   // connections. Throws net::ListenError or boost::system::system_error.
   Clients(boost::asio::io_context& io, const tcp::endpoint& listen, size_t max_sessions, SubmitHandler submit,
-          int listener = -1);
+          int listener = -1, ClientResources resources = {});
   ~Clients();
 
   tcp::endpoint address() const { return acceptor_.local_endpoint(); }
@@ -53,6 +59,7 @@
   // Accepts no new connection and sends each open one to another process once its request has been answered.
   void hand_over(HandOverHandler hand_over);
   int listener() { return acceptor_.is_open() ? acceptor_.native_handle() : -1; }
+  size_t session_count() const { return sessions_.size(); }
   bool has_answered_all() const;  // no connection awaits the answer to a request that was read
 
   // Returns whether there is a place, and according to `has_descriptor` a descriptor, for one more
@@ -85,6 +92,7 @@
   boost::asio::steady_timer sweep_timer_;
   size_t max_sessions_;
   SubmitHandler submit_;
+  ClientResources resources_;
   bool accepting_ = false;
   Time places_reserved_until_ = 0;  // for connections of the predecessor process; 0: no places are reserved
   bool finishing_ = false;
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -150,6 +150,10 @@
   if (out.max_descriptors < kMinDescriptors) throw BadConfig("limits.sockets is under 64");
   if (!(disk_mb > 0 && disk_mb < 1e6)) throw BadConfig("limits.disk_mb must be above 0 and below 1000000");
   out.max_disk_bytes = static_cast<size_t>(disk_mb * 1e6);
+  const double memory_mb = limits.at("memory_mb").get<double>();
+  if (!(memory_mb > 0 && memory_mb < 1e6))
+    throw BadConfig("limits.memory_mb must be above 0 and below 1000000");
+  out.max_memory_bytes = static_cast<size_t>(memory_mb * 1e6);
   const json& settings = root.at("settings");
   out.settings = policy::parse_settings(flatten(settings));
   std::set<std::string> classes;
--- a/relay/config.h
+++ b/relay/config.h
@@ -23,6 +23,7 @@
   uint64_t seed = 0;
   size_t max_descriptors = 1024;
   size_t max_disk_bytes = 0;
+  size_t max_memory_bytes = 0;  // of all processes of this relay together
   policy::Settings settings;
   ListNames names;
   std::vector<std::string> report_fields;
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -49,6 +49,9 @@
   // Returns the messages that were unfinished when the journal was opened, in the order of their acceptance.
   const std::vector<JournaledMessage>& recovered() const { return recovered_; }
 
+  // Returns the size of the records of unfinished messages and of the facts, which stand in memory too.
+  size_t live_bytes() const { return live_bytes_; }
+
   // Returns the current facts by name.
   const std::map<std::string, std::string>& facts() const { return facts_; }
 
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -8,6 +8,7 @@
 
 #include "net/log.h"
 #include "relay/config.h"
+#include "relay/process_end.h"
 #include "relay/relay.h"
 
 namespace {
@@ -43,6 +44,7 @@
   try {
     net::log::set_level(level);
     std::signal(SIGPIPE, SIG_IGN);
+    relay::log_fatal_signals();
     boost::asio::io_context io(1);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
     relay::Relay relay(io, relay::load_config(), [](const auto& address) {
@@ -54,6 +56,7 @@
     await_signal(signals, relay);
     io.run();
     block_signals();
+    net::log::info("ended", "reason", relay.end_reason(), "status", 0);
     return 0;
   } catch (const net::Error& error) {  // one line, as programs read it
     std::fprintf(stderr, "turntally-relay: %s (%s)\n", error.what(), error.action().c_str());
--- a/relay/metrics.cpp
+++ b/relay/metrics.cpp
@@ -33,6 +33,12 @@
     append_type(out, name, kind);
     out += "proxy_" + name + " " + std::to_string(value) + "\n";
   };
+  const auto append_labelled = [&](const std::string& name, const char* kind, const char* label,
+                                   const auto& values) {
+    append_type(out, name, kind);
+    for (const auto& [value_of_label, value] : values)
+      out += "proxy_" + name + "{" + label + "=\"" + value_of_label + "\"} " + std::to_string(value) + "\n";
+  };
   append_by_class("success_total", &ClassMetrics::success);
   append_by_class("overload_total", &ClassMetrics::overload);
   append_by_class("error_total", &ClassMetrics::error);
@@ -42,6 +48,13 @@
   append_value("targets_disabled", "gauge", targets_disabled);
   append_value("reload_success_total", "counter", reload_success);
   append_value("reload_failure_total", "counter", reload_failure);
+  append_value("resident_bytes", "gauge", resident_bytes);
+  append_value("memory_limit_bytes", "gauge", memory_limit);
+  append_value("descriptors", "gauge", descriptors);
+  append_value("clients", "gauge", clients);
+  append_labelled("held_bytes", "gauge", "use", held_bytes);
+  append_labelled("client_closes_total", "counter", "reason", closes);
+  append_labelled("refusals_total", "counter", "reason", refusals);
   if (handover_frames_rejected)
     append_value("handover_frames_rejected_total", "counter", *handover_frames_rejected);
   if (registry) {
--- a/relay/metrics.h
+++ b/relay/metrics.h
@@ -28,9 +28,16 @@
   uint64_t dispatches = 0;  // messages written completely to endpoints
   uint64_t reload_success = 0;
   uint64_t reload_failure = 0;
-  size_t concurrent = 0;        // messages accepted but not ended
-  size_t targets = 0;           // listed endpoints
-  size_t targets_disabled = 0;  // listed endpoints that are currently avoided
+  size_t concurrent = 0;                     // messages accepted but not ended
+  size_t targets = 0;                        // listed endpoints
+  size_t targets_disabled = 0;               // listed endpoints that are currently avoided
+  size_t resident_bytes = 0;                 // of this process
+  size_t memory_limit = 0;                   // bytes, of all processes of this relay together
+  size_t descriptors = 0;                    // open
+  size_t clients = 0;                        // open connections
+  std::map<std::string, size_t> held_bytes;  // by use
+  std::map<std::string, uint64_t> closes;    // ends of clients' connections, by reason
+  std::map<std::string, uint64_t> refusals;  // requests refused before the policy saw them, by reason
   std::optional<RegistryMetrics> registry;
   std::optional<uint64_t> handover_frames_rejected;  // set only if this process has taken over from another
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -81,7 +81,8 @@
             on_endpoint_idle(end.endpoint);
           }),
       on_listening_(std::move(on_listening)),
-      start_timer_(io) {
+      start_timer_(io),
+      resources_(io, config.max_memory_bytes, [this] { return describe_held_memory(); }) {
   if (!config.list_follower) {
     watch_.emplace(
         io, config.discovery, config.names,
@@ -126,7 +127,7 @@
         [this](SubmittedMessage message, Clients::AnswerHandler answer) {
           accept_message(std::move(message), std::move(answer));
         },
-        inherited_listener_.release());
+        inherited_listener_.release(), ClientResources{connection_log_});
     return true;
   } catch (const net::ListenError&) {
     if (steady_now() >= listen_retry_deadline_) throw;
@@ -138,6 +139,11 @@
   return false;
 }
 
+const char* Relay::end_reason() const {
+  if (is_handover_complete()) return "handed_over";
+  return stopping_since_ != 0 ? "stopped" : "unknown";
+}
+
 std::optional<tcp::endpoint> Relay::control_address() const {
   if (!control_) return {};
   return control_->address();
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -14,6 +14,7 @@
 #include "relay/call_batches.h"
 #include "relay/clients.h"
 #include "relay/config.h"
+#include "relay/connection_log.h"
 #include "relay/control.h"
 #include "relay/delivery_terms.h"
 #include "relay/directory.h"
@@ -29,6 +30,7 @@
 #include "relay/metrics.h"
 #include "relay/pending_messages.h"
 #include "relay/persisted_state.h"
+#include "relay/resource_monitor.h"
 #include "relay/route_waits.h"
 #include "relay/upstream.h"
 
@@ -58,6 +60,9 @@
   // Starts a graceful shutdown: keeps serving for a short time, lets calls finish, then stops the event loop.
   void stop();
 
+  // Returns why the event loop has ended, for the log.
+  const char* end_reason() const;
+
   // Returns the address for operator requests, or nullopt if none is configured.
   std::optional<tcp::endpoint> control_address() const;
 
@@ -191,6 +196,8 @@
   OperatorResponse set_suspended(const std::string& id, bool suspended);
   void raise_fencing_token(const LeaseClaim& claim);
   Metrics metrics() const;
+  std::map<std::string, size_t> held_bytes() const;
+  std::string describe_held_memory() const;
 
   boost::asio::io_context& io_;
   Config config_;
@@ -238,7 +245,9 @@
   boost::asio::steady_timer start_timer_;
   bool messages_recovered_ = false;  // recover_messages() has run
   Time listen_retry_deadline_ = 0;   // until then the predecessor may still hold the address
-  std::optional<Clients> clients_;   // set once messages are recovered and the listener is open
+  std::shared_ptr<ConnectionLog> connection_log_ = std::make_shared<ConnectionLog>();
+  ResourceMonitor resources_;
+  std::optional<Clients> clients_;  // set once messages are recovered and the listener is open
   bool draining_ = false;
   Metrics metrics_;  // the relay's own counters; metrics() adds the rest
 };
--- a/relay/relay_operators.cpp
+++ b/relay/relay_operators.cpp
@@ -71,6 +71,17 @@
   return {200, suspended ? "suspended\n" : "resumed\n"};
 }
 
+// Returns the bytes that each use holds.
+std::map<std::string, size_t> Relay::held_bytes() const { return {{"journal", journal_.live_bytes()}}; }
+
+std::string Relay::describe_held_memory() const {
+  std::string text = "clients=" + std::to_string(clients_ ? clients_->session_count() : 0) +
+                     " messages=" + std::to_string(messages_.size()) +
+                     " calls=" + std::to_string(upstream_.in_flight_count());
+  for (const auto& [use, bytes] : held_bytes()) text += " " + use + "=" + std::to_string(bytes);
+  return text;
+}
+
 Metrics Relay::metrics() const {
   Metrics metrics = metrics_;
   for (const policy::ClassSettings& entry : config_.settings.classes) metrics.classes.try_emplace(entry.name);
@@ -82,6 +93,19 @@
         return listed.second.info.listing != policy::Listing::kGone;
       }));
   metrics.targets_disabled = policy_.count_ejected_endpoints(steady_now());
+  metrics.resident_bytes = resident_bytes();
+  metrics.memory_limit = resources_.memory_limit();
+  metrics.descriptors = open_descriptors();
+  if (clients_) metrics.clients = clients_->session_count();
+  for (size_t i = 0; i < static_cast<size_t>(CloseReason::kCount); ++i) {
+    const auto reason = static_cast<CloseReason>(i);
+    metrics.closes[name_of(reason)] = connection_log_->closes(reason);
+  }
+  for (size_t i = 0; i < static_cast<size_t>(RefusalReason::kCount); ++i) {
+    const auto reason = static_cast<RefusalReason>(i);
+    metrics.refusals[name_of(reason)] = connection_log_->refusals(reason);
+  }
+  metrics.held_bytes = held_bytes();
   if (follower_) {
     metrics.registry =
         RegistryMetrics{static_cast<double>(follower_->confirmation_age_ms()) / 1000,
--- a/relay/relay_submission.cpp
+++ b/relay/relay_submission.cpp
@@ -67,6 +67,7 @@
   }
   if (messages_.size() >= static_cast<size_t>(config_.settings.max_pending_messages)) {
     ++counts.overload;
+    connection_log_->note_refusal(RefusalReason::kTooManyMessages, message.id);
     log_submission(message, kNoRoom);
     return kNoRoom;
   }
@@ -115,8 +116,9 @@
                                       message.terms_number)) {
     message.accepted = true;
   } else {
-    answer = kNoRoom;  // no room on the disk
+    answer = kNoRoom;
     ++counts.overload;
+    connection_log_->note_refusal(RefusalReason::kNoDisk, submitted.id);
     queue_event(policy::MessageWithdrawn{number});
   }
   log_submission(submitted, answer);
--- a/tests/support/peers.cpp
+++ b/tests/support/peers.cpp
@@ -411,6 +411,15 @@
   return out;
 }
 
+std::string Program::log_line() {
+  std::unique_lock lock(mutex_);
+  const auto there = [&] { return !lines_.empty(); };
+  if (!changed_.wait_for(lock, std::chrono::milliseconds(kDeadlineMs), there)) return "";
+  const std::string out = lines_.front();
+  lines_.pop_front();
+  return out;
+}
+
 size_t Program::status_bytes(const std::string& name) const {
   std::ifstream in("/proc/" + std::to_string(child_) + "/status");
   for (std::string line; std::getline(in, line);) {
--- a/tests/support/peers.h
+++ b/tests/support/peers.h
@@ -171,6 +171,7 @@
   uint16_t operators_port() const { return control_port_; }
   // Waits for the next log line of an event, behind the lines already returned; empty at the deadline.
   std::string log_line(const std::string& event);
+  std::string log_line();  // the next log line of any event
   bool logged(const std::string& event) { return !log_line(event).empty(); }
 
  private:
