relay: bound what unfinished commands and unread answers hold together

Cause: each connection was bounded, their sum was not; nothing read limits.memory_mb. A command was held in a buffer that doubles as it grows, read 64 KiB at a time, and copied into words and again into the message.

Change: MemoryLimits gives each use a part of the limit; half of it, as an upgrade runs two processes. A command holds 2 KiB freely; each longer word asks for its own length. Where that has run out, connections that have held memory for 0.1 s without getting on give it up, the longest first: their command is read on and dropped, and refused with -BUSY, or, if an answer is not read, the connection is closed. Words are kept once, in their own length; at most 4 KiB are read beyond a command. The system's buffers of a connection are bounded (16 KiB to send, 128 KiB to receive), and large freed blocks go back to the system.

Class of fault: each part bounds itself and no one bounds the sum.

--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -30,6 +30,7 @@
 constexpr Time kMinIdleUnderPressure = kSecond / 20;  // the same if every other connection was used just now
 constexpr Time kMinInitialIdle = 3 * kSecond / 10;
 constexpr Time kMinLingerAfterError = kSecond;
+const std::string kNoRoom = "-BUSY 500";  // others need the memory; their commands end within that time
 // After a close between requests, for bytes that the client has already sent.
 constexpr Time kMinLinger = kSecond / 20;
 
@@ -42,15 +43,17 @@
 
 void Clients::Session::proceed() {
   if (owner_ != nullptr && owner_->hand_over_) return hand_over();
-  std::optional<std::vector<std::string>> words;
+  std::optional<RespCommand> command;
   try {
-    words = parser_.next_command();
+    command = parser_.next_command();
   } catch (const RespError& error) {
+    parser_.clear();
+    memory_.release();
     return reject("-ERR protocol error: " + std::string(error.what()), CloseReason::kProtocolError);
   }
-  if (words) {
+  if (command) {
     command_since_ = 0;
-    return handle(*words);
+    return handle(std::move(*command));
   }
   if (owner_ == nullptr) return;
   if (parser_.empty()) {
@@ -65,8 +68,9 @@
 }
 
 void Clients::Session::hand_over() {
-  const ClientFrame state = {since_, received_at_, command_since_, has_sent_command_,
-                             std::string(parser_.unread())};
+  // The other process cannot read on where words are missing.
+  if (parser_.is_dropping()) return reject(kNoRoom, CloseReason::kDraining);
+  const ClientFrame state = {since_, received_at_, command_since_, has_sent_command_, parser_.unread()};
   owner_->hand_over_(state, stream_.socket().native_handle());
   boost::system::error_code ignored;
   stream_.socket().close(ignored);
@@ -136,7 +140,8 @@
   boost::system::error_code ignored;
   stream_.socket().cancel(ignored);
   stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  parser_ = RespParser();
+  parser_.clear();
+  memory_.release();
   since_ = steady_now();
   state_ = State::kLingering;
   continue_linger();
@@ -161,7 +166,8 @@
   if (error && error != boost::asio::error::operation_aborted) return close(CloseReason::kClosedByClient);
   if (error && is_input_empty()) return linger(CloseReason::kDraining);
   boost::system::error_code read_error;
-  const size_t count = stream_.read_some(boost::asio::buffer(owner_->read_buffer_), read_error);
+  const size_t count =
+      stream_.read_some(boost::asio::buffer(owner_->read_buffer_, parser_.wanted_bytes()), read_error);
   if (read_error == boost::asio::error::would_block) return proceed();
   if (count == 0) return close(CloseReason::kClosedByClient);
   bytes_read_ += count;
@@ -188,19 +194,46 @@
   return received == 0;
 }
 
-void Clients::Session::handle(const std::vector<std::string>& words) {
+bool Clients::Session::reserve_memory(size_t bytes) {
+  if (owner_ == nullptr || !owner_->make_memory_room(*this, bytes) || !memory_.try_add(bytes)) return false;
+  memory_held_since_ = steady_now();
+  return true;
+}
+
+Time Clients::Session::holds_memory_for(Time now) const {
+  const bool can_give_up = state_ == State::kReading || state_ == State::kWriting;
+  return can_give_up && memory_.bytes() > 0 ? now - memory_held_since_ : 0;
+}
+
+void Clients::Session::give_up_memory() {
+  if (state_ == State::kWriting) return close(CloseReason::kMemory);
+  parser_.drop_command();
+  memory_.release();
+}
+
+void Clients::Session::handle(RespCommand command) {
   has_sent_command_ = true;
   state_ = State::kServing;
-  const std::string command = upper(words[0]);
-  if (command == "PING" && words.size() <= 2) {
+  if (command.dropped) {
+    if (owner_ != nullptr) owner_->resources_.log->note_refusal(RefusalReason::kNoMemory, "");
+    memory_.release();
+    return answer(kNoRoom);
+  }
+  std::vector<std::string>& words = command.words;
+  const std::string name = upper(words[0]);
+  if (name == "PING" && words.size() <= 2) {
     if (owner_ == nullptr || owner_->draining_since_ != 0) return answer("-DRAINING");
     if (words.size() == 1) return answer("+PONG");
     return answer("$" + std::to_string(words[1].size()) + "\r\n" + words[1]);
   }
-  if (command != "MSG.PUT") return answer("-ERR unknown command");
-  if (owner_ == nullptr) return;
+  if (name != "MSG.PUT") return answer("-ERR unknown command");
+  if (owner_ != nullptr) submit(std::move(words));
+}
+
+void Clients::Session::submit(std::vector<std::string> words) {
   try {
-    SubmittedMessage message = parse_put(words);
+    SubmittedMessage message = parse_put(std::move(words));
+    memory_.release();  // the message has a reservation of its own
     message.time_to_live = std::max<Time>(0, message.time_to_live - (steady_now() - received_at_));
     owner_->submit_(std::move(message),
                     [self = shared_from_this()](const std::string& line) { self->answer(line); });
@@ -211,6 +244,7 @@
 
 void Clients::Session::answer(std::string line) {
   if (state_ == State::kClosed) return;
+  memory_held_since_ = steady_now();
   answer_ = std::move(line) + "\r\n";
   state_ = State::kWriting;
   since_ = steady_now();
@@ -219,6 +253,7 @@
         if (self->owner_ == nullptr) return;
         if (error) return self->close(CloseReason::kClosedByClient);
         std::string().swap(self->answer_);
+        self->memory_.release();
         self->since_ = steady_now();
         self->closing_after_answer_ ? self->linger(CloseReason::kProtocolError) : self->proceed();
       });
--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -20,7 +20,11 @@
 class Clients::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Clients& owner, tcp::socket socket)
-      : owner_(&owner), stream_(std::move(socket)), since_(steady_now()) {}
+      : owner_(&owner),
+        stream_(std::move(socket)),
+        parser_([this](size_t bytes) { return reserve_memory(bytes); }),
+        memory_(owner.resources_.commands),
+        since_(steady_now()) {}
 
   std::list<std::shared_ptr<Session>>::iterator position;
 
@@ -53,6 +57,12 @@
   // now, as with a request that has begun or is not answered. `under_pressure`: no other connection can be
   // closed.
   Time closable_for(Time now, bool under_pressure) const;
+  // Returns for how long the connection has held memory for a command or an answer without getting on with
+  // it; 0 if it holds none that it could give up.
+  Time holds_memory_for(Time now) const;
+  // Drops what has been read of a command, which will be refused, or closes the connection if its client does
+  // not read an answer.
+  void give_up_memory();
   // Returns whether no received bytes are unread.
   bool is_input_empty() const;
   // Shuts down the sending side and discards what still arrives until the client closes too or a limit is
@@ -72,7 +82,9 @@
   // Returns whether the client closed the connection after its request: it has given up, and has submitted
   // the message elsewhere under a new id.
   bool peer_closed();
-  void handle(const std::vector<std::string>& words);
+  bool reserve_memory(size_t bytes);
+  void handle(RespCommand command);
+  void submit(std::vector<std::string> words);
   void answer(std::string line);
   // Answers with an error and then closes the connection, as what follows cannot be parsed.
   void reject(const std::string& line, CloseReason reason);
@@ -82,6 +94,8 @@
   Clients* owner_;
   net::Stream stream_;
   RespParser parser_;
+  MemoryReservation memory_;  // of the command that is being read, or of its answer
+  Time memory_held_since_ = 0;
   std::string answer_;
   State state_ = State::kReading;
   Time since_;  // when the client connected, was last answered, or an answer or the final wait began
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -21,6 +21,11 @@
 constexpr Time kMinLinger = kSecond / 20;
 // How long a place is reserved for the predecessor process after it last needed one.
 constexpr Time kPlaceReservationTime = kSecond / 20;
+// How long a connection may hold memory that others need: a client sends a whole command at once.
+constexpr Time kMinMemoryHold = kSecond / 10;
+// Of a connection, in the system. Answers are short; the largest command fits twice.
+constexpr int kSendBufferBytes = 16 * 1024;
+constexpr int kReceiveBufferBytes = 128 * 1024;
 constexpr size_t kPlacesPerSpare = 8;  // one place in this many is freed in advance
 
 }  // namespace
@@ -77,6 +82,9 @@
 }
 
 std::shared_ptr<Clients::Session> Clients::add(tcp::socket socket) {
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::socket_base::send_buffer_size(kSendBufferBytes), ignored);
+  socket.set_option(boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
   auto session = std::make_shared<Session>(*this, std::move(socket));
   session->position = sessions_.insert(sessions_.end(), session);
   return session;
@@ -166,6 +174,24 @@
   accepting_ = accepting;
 }
 
+// Returns whether a command of one session may take so many bytes more. Where they have run out, other
+// sessions that have held some for a while without getting on give theirs up, the longest first.
+bool Clients::make_memory_room(const Session& for_session, size_t bytes) {
+  if (resources_.commands->has_room(bytes)) return true;
+  const Time now = steady_now();
+  std::vector<std::pair<Time, std::shared_ptr<Session>>> holders;
+  for (const auto& session : sessions_) {
+    const Time held_for = session->holds_memory_for(now);
+    if (session.get() != &for_session && held_for >= kMinMemoryHold) holders.emplace_back(held_for, session);
+  }
+  std::sort(holders.rbegin(), holders.rend());
+  for (const auto& [held_for, session] : holders) {
+    session->give_up_memory();
+    if (resources_.commands->has_room(bytes)) return true;
+  }
+  return false;
+}
+
 void Clients::sweep() {
   const Time now = steady_now();
   for (auto next = sessions_.begin(); next != sessions_.end();) {
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -13,6 +13,7 @@
 #include "relay/directory.h"
 #include "relay/handover.h"
 #include "relay/handover_frames.h"
+#include "relay/memory_pool.h"
 #include "relay/message.h"
 
 namespace turntally::relay {
@@ -20,6 +21,8 @@
 // What the connections of clients share with the rest of the relay.
 struct ClientResources {
   std::shared_ptr<ConnectionLog> log = std::make_shared<ConnectionLog>();
+  // For commands that have not been submitted, and answers that have not been written.
+  std::shared_ptr<MemoryPool> commands = std::make_shared<MemoryPool>();
 };
 
 class Clients {
@@ -83,6 +86,7 @@
   void close_idle(Time now, bool under_pressure, size_t wanted, size_t& closing);
   void close_lingering(Time now, size_t max_sessions);
   void sweep();
+  bool make_memory_room(const Session& for_session, size_t bytes);
   void remove(std::list<std::shared_ptr<Session>>::iterator position);
 
   boost::asio::io_context& io_;
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -8,6 +8,7 @@
 
 #include "net/log.h"
 #include "relay/config.h"
+#include "relay/memory_limits.h"
 #include "relay/process_end.h"
 #include "relay/relay.h"
 
@@ -45,6 +46,7 @@
     net::log::set_level(level);
     std::signal(SIGPIPE, SIG_IGN);
     relay::log_fatal_signals();
+    relay::return_freed_memory();
     boost::asio::io_context io(1);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
     relay::Relay relay(io, relay::load_config(), [](const auto& address) {
--- a/relay/put_command.cpp
+++ b/relay/put_command.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <stdexcept>
 #include <string_view>
+#include <utility>
 
 namespace turntally::relay {
 namespace {
@@ -76,7 +77,7 @@
 
 }  // namespace
 
-SubmittedMessage parse_put(const std::vector<std::string>& words) {
+SubmittedMessage parse_put(std::vector<std::string> words) {
   if (words.size() != 5) throw std::invalid_argument("MSG.PUT takes a key, an id, a list and a body");
   SubmittedMessage message;
   message.ordering_key = parse_ordering_key(words[1]);
@@ -86,7 +87,7 @@
   message.time_to_live = -1;
   parse_fields(message, words[3]);
   validate(message);
-  message.body = words[4];
+  message.body = std::move(words[4]);
   return message;
 }
 
--- a/relay/put_command.h
+++ b/relay/put_command.h
@@ -9,6 +9,6 @@
 namespace turntally::relay {
 
 // Parses the words of MSG.PUT. Throws std::invalid_argument with the text of the reply to the client.
-SubmittedMessage parse_put(const std::vector<std::string>& words);
+SubmittedMessage parse_put(std::vector<std::string> words);
 
 }  // namespace turntally::relay
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -82,7 +82,8 @@
           }),
       on_listening_(std::move(on_listening)),
       start_timer_(io),
-      resources_(io, config.max_memory_bytes, [this] { return describe_held_memory(); }) {
+      resources_(io, config.max_memory_bytes, [this] { return describe_held_memory(); }),
+      command_memory_(std::make_shared<MemoryPool>(memory_limits(config).commands)) {
   if (!config.list_follower) {
     watch_.emplace(
         io, config.discovery, config.names,
@@ -127,7 +128,7 @@
         [this](SubmittedMessage message, Clients::AnswerHandler answer) {
           accept_message(std::move(message), std::move(answer));
         },
-        inherited_listener_.release(), ClientResources{connection_log_});
+        inherited_listener_.release(), ClientResources{connection_log_, command_memory_});
     return true;
   } catch (const net::ListenError&) {
     if (steady_now() >= listen_retry_deadline_) throw;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -26,6 +26,8 @@
 #include "relay/handover.h"
 #include "relay/handover_frames.h"
 #include "relay/journal.h"
+#include "relay/memory_limits.h"
+#include "relay/memory_pool.h"
 #include "relay/message_ordering.h"
 #include "relay/metrics.h"
 #include "relay/pending_messages.h"
@@ -247,6 +249,7 @@
   Time listen_retry_deadline_ = 0;   // until then the predecessor may still hold the address
   std::shared_ptr<ConnectionLog> connection_log_ = std::make_shared<ConnectionLog>();
   ResourceMonitor resources_;
+  std::shared_ptr<MemoryPool> command_memory_;
   std::optional<Clients> clients_;  // set once messages are recovered and the listener is open
   bool draining_ = false;
   Metrics metrics_;  // the relay's own counters; metrics() adds the rest
--- a/relay/relay_operators.cpp
+++ b/relay/relay_operators.cpp
@@ -72,7 +72,9 @@
 }
 
 // Returns the bytes that each use holds.
-std::map<std::string, size_t> Relay::held_bytes() const { return {{"journal", journal_.live_bytes()}}; }
+std::map<std::string, size_t> Relay::held_bytes() const {
+  return {{"commands", command_memory_->used()}, {"journal", journal_.live_bytes()}};
+}
 
 std::string Relay::describe_held_memory() const {
   std::string text = "clients=" + std::to_string(clients_ ? clients_->session_count() : 0) +
--- a/tests/relay/parts_test.cpp
+++ b/tests/relay/parts_test.cpp
@@ -117,6 +117,45 @@
   EXPECT_TRUE(parser.empty());
 }
 
+// The bytes of commands for which there was no room filled the memory, or the connection had to be closed.
+TEST(Resp, DropsCommandWithoutRoomAndReadsTheNext) {
+  std::vector<size_t> asked;
+  RespParser parser([&](size_t bytes) {
+    asked.push_back(bytes);
+    return false;
+  });
+  const std::string large = "*2\r\n$4\r\nPING\r\n$3000\r\n" + std::string(3000, 'x') + "\r\n";
+  for (const char byte : large + "*1\r\n$4\r\nPING\r\n") {
+    EXPECT_LE(parser.is_dropping() ? 0 : parser.unread().size(), RespParser::kFreeBytes);
+    parser.feed(std::string_view(&byte, 1));
+    if (const auto command = parser.next_command()) {
+      EXPECT_EQ(command->dropped, asked.size() == 1 && command->words.empty());
+      EXPECT_EQ(command->words,
+                command->dropped ? std::vector<std::string>{} : std::vector<std::string>{"PING"});
+    }
+  }
+  EXPECT_EQ(asked, std::vector<size_t>{3000});
+  EXPECT_TRUE(parser.empty());
+}
+
+// A command that was read in part before an upgrade must be the same for the process that reads on.
+TEST(Resp, ReadsOnAfterUnreadBytesWereHandedOver) {
+  const std::string command = testing::put_bytes("a1", "c=safe,d=60000,dest=7", std::string(5000, 'x'));
+  for (size_t cut = 0; cut < command.size(); cut += 7) {
+    RespParser before;
+    before.feed(std::string_view(command).substr(0, cut));
+    EXPECT_FALSE(before.next_command());
+    RespParser after;
+    after.feed(before.unread());
+    EXPECT_FALSE(after.next_command());
+    after.feed(std::string_view(command).substr(cut));
+    const auto whole = after.next_command();
+    ASSERT_TRUE(whole) << cut;
+    EXPECT_EQ(whole->words[4].size(), 5000u);
+    EXPECT_TRUE(after.empty());
+  }
+}
+
 TEST(PutCommand, RejectsValuesThatWouldBreakHeader) {
   const auto parse = [](const std::string& id, const std::string& list) {
     return parse_put({"MSG.PUT", "0", id, list, ""});
