relay: free the places of clients whose command or answer makes no progress

Cause: only connections between requests were closed to make room; one in a command kept its place for 2 s, one that does not read for 2 s.

Change: where all places are taken, commands and answers that have made no progress for 0.3 s end, the longest first: the command is refused with -BUSY, an unread answer's connection is closed. A connection whose command was dropped for lack of memory is not read for 0.2 s (before, 20,000 such commands a second took the whole core), and is the first to go.

Evidence: HostileCrowd.KeepsItsLimitsWhenMoreThanAllPlaces{StopInARequest, SendFragments,ReadNothing} and ...AllPlacesOfFewSendFragments failed before (14, 14, 8 to 14 and 14 of about 110 unanswered, 4.2 s) and pass; the third passed 3 of 3 after the pause and failed without it (14 of 110). 149 tests of the relay and lab pass (debug, arm64).

--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -29,8 +29,11 @@
 constexpr Time kMinIdle = 2 * kSecond;                // between requests
 constexpr Time kMinIdleUnderPressure = kSecond / 20;  // the same if every other connection was used just now
 constexpr Time kMinInitialIdle = 3 * kSecond / 10;
+// For a command or an answer that makes no progress, if its place is needed.
+constexpr Time kMinStall = 3 * kSecond / 10;
 constexpr Time kMinLingerAfterError = kSecond;
-const std::string kNoRoom = "-BUSY 500";  // others need the memory; their commands end within that time
+constexpr Time kPauseAfterDrop = kSecond / 5;
+const std::string kNoRoom = "-BUSY 500";  // others need the memory or the place; they end within that time
 // After a close between requests, for bytes that the client has already sent.
 constexpr Time kMinLinger = kSecond / 20;
 
@@ -43,6 +46,11 @@
 
 void Clients::Session::proceed() {
   if (owner_ != nullptr && owner_->hand_over_) return hand_over();
+  if (paused_until_ != 0) {
+    state_ = State::kReading;
+    if (!parser_.empty()) command_since_ = steady_now();
+    return;
+  }
   std::optional<RespCommand> command;
   try {
     command = parser_.next_command();
@@ -121,7 +129,10 @@
 
 Time Clients::Session::closable_for(Time now, bool under_pressure) const {
   const Time age = now - since_;
-  if (state_ == State::kLingering) return age - (closing_after_answer_ ? kMinLingerAfterError : kMinLinger);
+  if (state_ == State::kLingering) {
+    const bool waits_for_error = closing_after_answer_ && end_reason_ != CloseReason::kStalledForPlace;
+    return age - (waits_for_error ? kMinLingerAfterError : kMinLinger);
+  }
   if (state_ != State::kReading || command_since_ != 0) return -1;
   return age - (!has_sent_command_ ? kMinInitialIdle : under_pressure ? kMinIdleUnderPressure : kMinIdle);
 }
@@ -200,6 +211,22 @@
   return true;
 }
 
+Time Clients::Session::stalled_for(Time now) const {
+  if (end_reason_) return -1;
+  if (state_ == State::kWriting) return now - since_ - kMinStall;
+  if (state_ == State::kReading && paused_until_ != 0) return now - since_ - kMinIdleUnderPressure;
+  if (state_ != State::kReading || command_since_ == 0 || !is_input_empty()) return -1;
+  return now - command_since_ - kMinStall;
+}
+
+void Clients::Session::end_stalled() {
+  if (state_ == State::kWriting) return close(CloseReason::kStalledForPlace);
+  if (paused_until_ != 0) return linger(CloseReason::kStalledForPlace);  // between requests
+  parser_.clear();
+  memory_.release();
+  reject(kNoRoom, CloseReason::kStalledForPlace);
+}
+
 Time Clients::Session::holds_memory_for(Time now) const {
   const bool can_give_up = state_ == State::kReading || state_ == State::kWriting;
   return can_give_up && memory_.bytes() > 0 ? now - memory_held_since_ : 0;
@@ -211,14 +238,25 @@
   memory_.release();
 }
 
+// Reads nothing more for a moment: a client that goes on with commands for which there is no room would take
+// all of the processor's time.
+void Clients::Session::refuse_dropped() {
+  if (owner_ != nullptr) owner_->resources_.log->note_refusal(RefusalReason::kNoMemory, "");
+  memory_.release();
+  paused_until_ = steady_now() + kPauseAfterDrop;
+  answer(kNoRoom);
+}
+
+void Clients::Session::resume(Time now) {
+  if (state_ != State::kReading || paused_until_ == 0 || now < paused_until_) return;
+  paused_until_ = 0;
+  proceed();
+}
+
 void Clients::Session::handle(RespCommand command) {
   has_sent_command_ = true;
   state_ = State::kServing;
-  if (command.dropped) {
-    if (owner_ != nullptr) owner_->resources_.log->note_refusal(RefusalReason::kNoMemory, "");
-    memory_.release();
-    return answer(kNoRoom);
-  }
+  if (command.dropped) return refuse_dropped();
   std::vector<std::string>& words = command.words;
   const std::string name = upper(words[0]);
   if (name == "PING" && words.size() <= 2) {
--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -29,6 +29,8 @@
   std::list<std::shared_ptr<Session>>::iterator position;
 
   void proceed();
+  // Reads on from a connection that was paused, if its time has come.
+  void resume(Time now);
   // Sends the connection to the other process and closes it here, without a shutdown, which would end it
   // there as well.
   void hand_over();
@@ -38,7 +40,9 @@
   bool is_reading() const { return state_ == State::kReading; }
   bool is_lingering() const { return state_ == State::kLingering; }
   // Returns whether the session was ended between requests and is closing, which takes little time.
-  bool is_closing() const { return is_lingering() && !closing_after_answer_; }
+  bool is_closing() const {
+    return (is_lingering() && !closing_after_answer_) || end_reason_ == CloseReason::kStalledForPlace;
+  }
   bool owes_answer() const { return state_ == State::kServing || state_ == State::kWriting; }
 
   // Returns whether the client has sent a command. A client that has not may have just connected; one that
@@ -57,6 +61,11 @@
   // now, as with a request that has begun or is not answered. `under_pressure`: no other connection can be
   // closed.
   Time closable_for(Time now, bool under_pressure) const;
+  // Returns for how long a command or an answer could have been given up to make room; negative if it cannot
+  // be now.
+  Time stalled_for(Time now) const;
+  // Refuses the command that has begun, or closes the connection if its client does not read an answer.
+  void end_stalled();
   // Returns for how long the connection has held memory for a command or an answer without getting on with
   // it; 0 if it holds none that it could give up.
   Time holds_memory_for(Time now) const;
@@ -83,6 +92,7 @@
   // the message elsewhere under a new id.
   bool peer_closed();
   bool reserve_memory(size_t bytes);
+  void refuse_dropped();
   void handle(RespCommand command);
   void submit(std::vector<std::string> words);
   void answer(std::string line);
@@ -100,6 +110,7 @@
   State state_ = State::kReading;
   Time since_;  // when the client connected, was last answered, or an answer or the final wait began
   Time received_at_ = 0;    // when the newest byte arrived
+  Time paused_until_ = 0;   // nothing is read before; 0: not paused
   Time command_since_ = 0;  // when the first byte of an unfinished command was read; 0: none has begun
   size_t discarded_bytes_ = 0;
   uint64_t bytes_read_ = 0;
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -139,6 +139,7 @@
       sessions_.begin(), sessions_.end(), [](const auto& session) { return session->is_closing(); }));
   close_idle(now, false, wanted, closing);
   if (closing == 0 && sessions_.size() >= max_sessions) close_idle(now, true, wanted, closing);
+  if (closing < wanted && sessions_.size() >= max_sessions) close_stalled(now, wanted, closing);
   close_lingering(now, max_sessions);
   if (sessions_.size() < max_sessions) return true;
   if (closing > 0)
@@ -162,6 +163,22 @@
   }
 }
 
+// Closes connections whose command or answer has not got on, the longest stalled first, until `wanted`
+// connections are closing. Clients that stop in a command or do not read would otherwise hold all places.
+void Clients::close_stalled(Time now, size_t wanted, size_t& closing) {
+  std::vector<std::pair<Time, std::shared_ptr<Session>>> stalled;
+  for (const auto& session : sessions_) {
+    const Time stalled_time = session->stalled_for(now);
+    if (stalled_time >= 0) stalled.emplace_back(stalled_time, session);
+  }
+  std::sort(stalled.rbegin(), stalled.rend());
+  for (const auto& [stalled_time, session] : stalled) {
+    if (closing >= wanted) break;
+    session->end_stalled();
+    ++closing;
+  }
+}
+
 // Closes lingering connections while there is no free place. Session::close() calls accept(), which is left
 // to the caller here.
 void Clients::close_lingering(Time now, size_t max_sessions) {
@@ -196,6 +213,7 @@
   const Time now = steady_now();
   for (auto next = sessions_.begin(); next != sessions_.end();) {
     const auto session = *next++;
+    session->resume(now);
     session->enforce_timeouts(now);
     if (finishing_ || (session->has_sent_command() && closes_between_requests())) session->finish();
   }
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -84,6 +84,7 @@
   bool reserves_places() const;
   bool make_room(size_t max_sessions);
   void close_idle(Time now, bool under_pressure, size_t wanted, size_t& closing);
+  void close_stalled(Time now, size_t wanted, size_t& closing);
   void close_lingering(Time now, size_t max_sessions);
   void sweep();
   bool make_memory_room(const Session& for_session, size_t bytes);
