relay: bound what accepted messages hold, in all their copies and processes

What callers saw: with 300 messages of 65,000 bytes a second, endpoints that take 3 s and 64 MB of disk, a process of 32 MB grew to 113.7 MB and was killed; the one after the kill took 73.6 MB; the two of an upgrade 236.2 MB.

Cause: room was bounded by number and disk only.

Change: a message is refused with -BUSY, before its body is read, if the memory for messages has no room for it; what was taken on is always kept. The bytes of a body are shared by table and call (span_body). A process that has handed over drops all but the messages of its calls in flight and returns the memory to the system.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -194,6 +194,7 @@
 // Returns whether a command of one session may take so many bytes more. Where they have run out, other
 // sessions that have held some for a while without getting on give theirs up, the longest first.
 bool Clients::make_memory_room(const Session& for_session, size_t bytes) {
+  if (!resources_.has_message_memory(bytes)) return false;
   if (resources_.commands->has_room(bytes)) return true;
   const Time now = steady_now();
   std::vector<std::pair<Time, std::shared_ptr<Session>>> holders;
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -23,6 +23,8 @@
   std::shared_ptr<ConnectionLog> log = std::make_shared<ConnectionLog>();
   // For commands that have not been submitted, and answers that have not been written.
   std::shared_ptr<MemoryPool> commands = std::make_shared<MemoryPool>();
+  // Returns whether a message with a body of so many bytes would be taken on as far as memory goes.
+  std::function<bool(size_t body_bytes)> has_message_memory = [](size_t) { return true; };
 };
 
 class Clients {
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -1,9 +1,10 @@
 #include "relay/journal.h"
 
 #include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
-#include <array>
+#include <algorithm>
 #include <boost/crc.hpp>
 #include <cerrno>
 #include <cstring>
@@ -127,19 +128,66 @@
   return true;
 }
 
-// Reads the whole file. Throws StateUnusable on an error, as a part of the file must not be taken for the
-// whole.
-std::string read_all(int file, const std::filesystem::path& path) {
-  std::string contents;
-  std::array<char, 64 * 1024> buffer;
-  while (true) {
-    const ssize_t count = ::pread(file, buffer.data(), buffer.size(), static_cast<off_t>(contents.size()));
-    if (count < 0 && errno == EINTR) continue;
-    if (count < 0) throw StateUnusable("cannot read " + path.string() + ": " + std::strerror(errno));
-    if (count == 0) return contents;
-    contents.append(buffer.data(), static_cast<size_t>(count));
+// Reads a journal's records one by one, up to the first damaged one. Holds one record and a piece of the
+// file.
+class RecordFileReader {
+ public:
+  RecordFileReader(int file, const std::filesystem::path& path) : file_(file), path_(path) {
+    struct stat status {};
+    if (::fstat(file, &status) != 0) fail();
+    file_bytes_ = static_cast<size_t>(status.st_size);
   }
-}
+
+  size_t file_bytes() const { return file_bytes_; }
+  // Returns the end of the last record that was returned.
+  size_t records_end() const { return records_end_; }
+
+  // Returns the next record, valid until the next call; nothing at the end or at a damaged record.
+  std::optional<std::string_view> next() {
+    if (!fill(kHeaderBytes)) return {};
+    uint32_t header[2];
+    std::memcpy(header, unread_.data() + begin_, kHeaderBytes);
+    const size_t payload_bytes = header[0];
+    if (payload_bytes == 0 || !fill(kHeaderBytes + payload_bytes)) return {};
+    const std::string_view payload = std::string_view(unread_).substr(begin_ + kHeaderBytes, payload_bytes);
+    if (checksum(payload) != header[1]) return {};
+    begin_ += kHeaderBytes + payload_bytes;
+    records_end_ += kHeaderBytes + payload_bytes;
+    return payload;
+  }
+
+ private:
+  // Reads on until `count` bytes are unread. Returns false if the file has fewer.
+  bool fill(size_t count) {
+    if (unread_.size() - begin_ >= count) return true;
+    if (count > file_bytes_ - records_end_) return false;
+    unread_.erase(0, std::exchange(begin_, 0));
+    while (unread_.size() < count) {
+      const size_t old_size = unread_.size();
+      unread_.resize(std::max(count, old_size + kPieceBytes));
+      const ssize_t read = ::pread(file_, unread_.data() + old_size, unread_.size() - old_size,
+                                   static_cast<off_t>(records_end_ + old_size));
+      unread_.resize(old_size + static_cast<size_t>(std::max<ssize_t>(read, 0)));
+      if (read < 0 && errno != EINTR) fail();
+      if (read == 0) return false;
+    }
+    return true;
+  }
+
+  // A part of the file must not be taken for the whole.
+  [[noreturn]] void fail() const {
+    throw StateUnusable("cannot read " + path_.string() + ": " + std::strerror(errno));
+  }
+
+  static constexpr size_t kPieceBytes = size_t{64} * 1024;
+
+  int file_;
+  const std::filesystem::path& path_;
+  size_t file_bytes_ = 0;
+  size_t records_end_ = 0;
+  std::string unread_;  // a piece of the file, from records_end_ - begin_ on
+  size_t begin_ = 0;    // of the bytes in unread_ that have not been returned
+};
 
 }  // namespace
 
@@ -156,52 +204,46 @@
 
 Journal::~Journal() { ::close(file_); }
 
+void Journal::release_memory() {
+  live_records_.clear();
+  places_.clear();
+  recovered_ = {};
+  live_bytes_ = fact_bytes_;
+}
+
 // Reads the file's records up to the first damaged one. A process that is killed during a write leaves a torn
 // record at the end; all records before it are complete.
 void Journal::replay() {
-  const std::string bytes = read_all(file_, path_);
-  std::map<std::string, size_t> entry_indexes;
-  size_t offset = 0;
-  while (bytes.size() - offset >= kHeaderBytes) {
-    uint32_t header[2];
-    std::memcpy(header, bytes.data() + offset, kHeaderBytes);
-    if (header[0] > bytes.size() - offset - kHeaderBytes) break;
-    const auto payload = std::string_view(bytes).substr(offset + kHeaderBytes, header[0]);
-    if (payload.empty() || checksum(payload) != header[1]) break;
-    apply_record(payload, entry_indexes);
-    offset += kHeaderBytes + header[0];
-  }
-  file_bytes_ = offset;
+  RecordFileReader reader(file_, path_);
+  std::map<uint64_t, JournaledMessage> unfinished;
+  while (const auto record = reader.next()) apply_record(*record, unfinished);
+  file_bytes_ = reader.records_end();
   // The next replay would not find records behind a torn one. If that cannot be cut off, the next write
   // compacts the file first.
-  incomplete_ = offset < bytes.size() && ::ftruncate(file_, static_cast<off_t>(offset)) != 0;
-  std::vector<JournaledMessage> unfinished;
-  for (size_t i = 0; i < recovered_.size(); ++i) {
-    const auto index = entry_indexes.find(recovered_[i].message.id);
-    if (index != entry_indexes.end() && index->second == i) unfinished.push_back(std::move(recovered_[i]));
-  }
-  recovered_ = std::move(unfinished);
+  incomplete_ = file_bytes_ < reader.file_bytes() && ::ftruncate(file_, static_cast<off_t>(file_bytes_)) != 0;
+  for (auto& [place, entry] : unfinished) recovered_.push_back(std::move(entry));
 }
 
-void Journal::apply_record(std::string_view record, std::map<std::string, size_t>& entry_indexes) {
+void Journal::apply_record(std::string_view record, std::map<uint64_t, JournaledMessage>& unfinished) {
   RecordReader in(record);
   const char kind = in.kind();
   const std::string id = in.text();
   if (kind == kFact) return set_fact(id, in.text());
   if (kind == kAccepted) {
-    entry_indexes[id] = recovered_.size();
-    recovered_.push_back(read_accepted(id, in));
+    const auto earlier = places_.find(id);
+    if (earlier != places_.end()) unfinished.erase(earlier->second);
     places_[id] = ++last_place_;
+    unfinished[last_place_] = read_accepted(id, in);
   }
-  const auto index = entry_indexes.find(id);
-  if (index == entry_indexes.end()) return;
-  JournaledMessage& entry = recovered_[index->second];
-  std::string& records = live_records_[places_[id]];
+  const auto place = places_.find(id);
+  if (place == places_.end()) return;
+  JournaledMessage& entry = unfinished[place->second];
+  std::string& records = live_records_[place->second];
   if (kind == kAcknowledged) {
     live_bytes_ -= records.size() + kReservedBytesPerMessage;
-    live_records_.erase(places_[id]);
-    places_.erase(id);
-    entry_indexes.erase(index);
+    live_records_.erase(place->second);
+    unfinished.erase(place->second);
+    places_.erase(place);
     return;
   }
   if (kind == kAttempt) read_attempt(entry, in);
@@ -215,11 +257,15 @@
 void Journal::set_fact(const std::string& name, const std::string& value) {
   const auto old = facts_.find(name);
   if (old != facts_.end()) {
-    live_bytes_ -= framed(RecordWriter(kFact, name).text(old->second).payload()).size();
+    const size_t old_bytes = framed(RecordWriter(kFact, name).text(old->second).payload()).size();
+    live_bytes_ -= old_bytes;
+    fact_bytes_ -= old_bytes;
     facts_.erase(old);
   }
   if (value.empty()) return;
-  live_bytes_ += framed(RecordWriter(kFact, name).text(value).payload()).size();
+  const size_t bytes = framed(RecordWriter(kFact, name).text(value).payload()).size();
+  live_bytes_ += bytes;
+  fact_bytes_ += bytes;
   facts_[name] = value;
 }
 
@@ -266,7 +312,7 @@
       .text(message.idempotency_key)
       .number(message.destination)
       .number(deadline)
-      .text(message.body)
+      .text(message.body.view())
       .text(message.tenant)
       .number(terms_number)
       .number(static_cast<int64_t>(message.ordering_key));
@@ -347,17 +393,14 @@
 }
 
 bool Journal::compact() {
-  std::string bytes;
-  for (const auto& [name, value] : facts_) bytes += framed(RecordWriter(kFact, name).text(value).payload());
-  for (const auto& [place, records] : live_records_) bytes += records;
-  if (bytes.size() > max_file_bytes_) return false;
   const int compacted_file =
       ::open(compacted_path_.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
   if (compacted_file < 0) return false;
   // Synced facts must not leave the disk with the old file.
   const auto synced = facts_.lower_bound(kSyncedFactPrefix);
   const bool has_synced = synced != facts_.end() && synced->first.starts_with(kSyncedFactPrefix);
-  if (!write_all(compacted_file, bytes) || (has_synced && ::fdatasync(compacted_file) != 0) ||
+  const auto written = write_live_records(compacted_file);
+  if (!written || (has_synced && ::fdatasync(compacted_file) != 0) ||
       ::rename(compacted_path_.c_str(), path_.c_str()) != 0) {
     ::close(compacted_file);
     ::unlink(compacted_path_.c_str());
@@ -365,9 +408,30 @@
   }
   ::close(file_);
   file_ = compacted_file;
-  file_bytes_ = bytes.size();
+  file_bytes_ = *written;
   incomplete_ = false;
   return true;
 }
 
+// Writes the facts and the records of the live messages in pieces, and returns their size; nothing if they
+// are too many for a file or a write fails.
+std::optional<size_t> Journal::write_live_records(int file) const {
+  constexpr size_t kPieceBytes = size_t{64} * 1024;
+  std::string piece;
+  size_t written = 0;
+  const auto add = [&](std::string_view bytes) {
+    piece += bytes;
+    written += bytes.size();
+    if (written > max_file_bytes_) return false;
+    return piece.size() < kPieceBytes || write_all(file, std::exchange(piece, {}));
+  };
+  for (const auto& [name, value] : facts_) {
+    if (!add(framed(RecordWriter(kFact, name).text(value).payload()))) return {};
+  }
+  for (const auto& [place, records] : live_records_) {
+    if (!add(records)) return {};
+  }
+  return write_all(file, piece) ? std::optional(written) : std::nullopt;
+}
+
 }  // namespace turntally::relay
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "relay/message.h"
@@ -48,9 +49,14 @@
 
   // Returns the messages that were unfinished when the journal was opened, in the order of their acceptance.
   const std::vector<JournaledMessage>& recovered() const { return recovered_; }
+  // Returns the same and keeps no copy.
+  std::vector<JournaledMessage> take_recovered() { return std::exchange(recovered_, {}); }
 
-  // Returns the size of the records of unfinished messages and of the facts, which stand in memory too.
-  size_t live_bytes() const { return live_bytes_; }
+  // Returns the size of the records of unfinished messages, which stand in memory too, with what is reserved
+  // for their ends.
+  size_t live_message_bytes() const { return live_bytes_ - fact_bytes_; }
+  // Drops what stands in memory. Nothing may be recorded after that: another process owns the folder.
+  void release_memory();
 
   // Returns the current facts by name.
   const std::map<std::string, std::string>& facts() const { return facts_; }
@@ -80,11 +86,12 @@
 
  private:
   void replay();
-  void apply_record(std::string_view record, std::map<std::string, size_t>& entry_indexes);
+  void apply_record(std::string_view record, std::map<uint64_t, JournaledMessage>& unfinished);
   void set_fact(const std::string& name, const std::string& value);
   bool append(const std::string& id, const std::string& payload);
   bool write(std::string_view bytes);
   bool compact();
+  std::optional<size_t> write_live_records(int file) const;
   bool sync();
 
   std::filesystem::path path_;
@@ -95,6 +102,7 @@
   bool incomplete_ = false;  // the file lacks some of the live records or facts
   bool unsynced_ = true;     // synced facts may not be on the disk; unknown after opening
   size_t live_bytes_ = 0;
+  size_t fact_bytes_ = 0;  // the part of live_bytes_ that facts take
   uint64_t last_place_ = 0;
   std::map<std::string, uint64_t> places_;  // order of acceptance of the live messages, by id
   std::map<uint64_t, std::string>
--- a/relay/memory_limits.cpp
+++ b/relay/memory_limits.cpp
@@ -26,9 +26,7 @@
 constexpr size_t kFinishedIdsShare = 5;
 constexpr size_t kCallsShare = 15;
 
-// A message stands in the table of messages, in the journal's live records and in its call.
-constexpr size_t kBodyCopies = 3;
-// Its other fields there, and its place in the policy's queues.
+// A message's other fields, its place in the policy's queues, and its call. Its records count in the journal.
 constexpr size_t kMessageOverheadBytes = 2 * kKilobyte;
 
 constexpr int kMmapThresholdBytes = 64 * 1024;  // larger blocks go back to the system one by one
@@ -44,7 +42,7 @@
   return {share(kCommandsShare), share(kMessagesShare), share(kFinishedIdsShare), share(kCallsShare)};
 }
 
-size_t message_bytes(size_t body_bytes) { return kBodyCopies * body_bytes + kMessageOverheadBytes; }
+size_t message_bytes(size_t body_bytes) { return body_bytes + kMessageOverheadBytes; }
 
 void return_freed_memory() {
 #ifdef __GLIBC__
@@ -53,4 +51,10 @@
 #endif
 }
 
+void trim_memory() {
+#ifdef __GLIBC__
+  ::malloc_trim(0);
+#endif
+}
+
 }  // namespace turntally::relay
--- a/relay/memory_limits.h
+++ b/relay/memory_limits.h
@@ -19,11 +19,14 @@
 
 MemoryLimits memory_limits(const Config& config);
 
-// Returns what a message with a body of so many bytes holds while it is open.
+// Returns what a message with a body of so many bytes holds while it is open, its journal records apart.
 size_t message_bytes(size_t body_bytes);
 
 // Makes the C library return freed memory to the system, so that a peak of one use does not stay with the
 // process.
 void return_freed_memory();
 
+// Returns all freed memory to the system now.
+void trim_memory();
+
 }  // namespace turntally::relay
--- a/relay/message.h
+++ b/relay/message.h
@@ -2,7 +2,11 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
+#include <ostream>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "net/clock.h"
 #include "turntally/policy.h"
@@ -12,13 +16,30 @@
 using policy::Endpoint;
 using policy::Time;
 
+// Bytes that never change. Copies share them.
+class SharedBytes {
+ public:
+  SharedBytes() = default;
+  SharedBytes(std::string bytes)  // NOLINT(google-explicit-constructor): any string is a body
+      : bytes_(bytes.empty() ? nullptr : std::make_shared<const std::string>(std::move(bytes))) {}
+  SharedBytes(const char* bytes) : SharedBytes(std::string(bytes)) {}  // NOLINT(google-explicit-constructor)
+
+  std::string_view view() const { return bytes_ ? std::string_view(*bytes_) : std::string_view(); }
+  size_t size() const { return view().size(); }
+  friend bool operator==(const SharedBytes& bytes, std::string_view other) { return bytes.view() == other; }
+  friend std::ostream& operator<<(std::ostream& out, const SharedBytes& bytes) { return out << bytes.view(); }
+
+ private:
+  std::shared_ptr<const std::string> bytes_;  // null if empty
+};
+
 struct SubmittedMessage {
   std::string id;
   std::string message_class;
   std::string idempotency_key;  // idempotency key; empty if none
   int destination = 0;
   Time time_to_live = 0;  // microseconds from receipt of its last byte in which it may be delivered
-  std::string body;
+  SharedBytes body;
   std::string tenant;         // whose share of the traffic it counts against; empty if none
   uint64_t ordering_key = 0;  // ordered classes send messages of one key one at a time; 0: none
 };
--- a/relay/pending_messages.cpp
+++ b/relay/pending_messages.cpp
@@ -17,6 +17,11 @@
   messages_.erase(found);
 }
 
+void PendingMessages::keep_only(const std::set<uint64_t>& numbers) {
+  std::erase_if(numbers_, [&](const auto& entry) { return !numbers.contains(entry.second); });
+  std::erase_if(messages_, [&](const auto& entry) { return !numbers.contains(entry.first); });
+}
+
 PendingMessage* PendingMessages::find(uint64_t number) {
   const auto found = messages_.find(number);
   return found == messages_.end() ? nullptr : &found->second;
--- a/relay/pending_messages.h
+++ b/relay/pending_messages.h
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
+#include "relay/memory_pool.h"
 #include "relay/message.h"
 
 namespace turntally::relay {
@@ -16,6 +18,7 @@
   int attempts = 0;          // the number of the next attempt
   bool accepted = false;     // the journal has its record
   int64_t terms_number = 0;  // number of its DeliveryTerms; 0: not recorded
+  MemoryReservation memory;
 };
 
 // Owns the messages and the numbers that identify them to the policy. Numbers increase and are never reused.
@@ -27,6 +30,8 @@
 
   PendingMessage& add(uint64_t number, PendingMessage message);
   void erase(uint64_t number);
+  // Erases all messages but these.
+  void keep_only(const std::set<uint64_t>& numbers);
 
   // Return null or nullopt if there is no such message or it has ended.
   PendingMessage* find(uint64_t number);
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -64,6 +64,7 @@
       delivery_terms_(journal_),
       ordering_(journal_, clock_),
       policy_(limit_concurrent_calls(config), config.seed),
+      message_memory_(std::make_shared<MemoryPool>(memory_limits(config).messages)),
       wake_timer_(io),
       stop_timer_(io),
       notices_(io, config.discovery,
@@ -128,7 +129,9 @@
         [this](SubmittedMessage message, Clients::AnswerHandler answer) {
           accept_message(std::move(message), std::move(answer));
         },
-        inherited_listener_.release(), ClientResources{connection_log_, command_memory_});
+        inherited_listener_.release(),
+        ClientResources{connection_log_, command_memory_,
+                        [this](size_t bytes) { return has_message_memory(bytes); }});
     return true;
   } catch (const net::ListenError&) {
     if (steady_now() >= listen_retry_deadline_) throw;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -141,6 +141,7 @@
   // Submission, delivery terms and ordering of messages: relay_submission.cpp.
   void accept_message(SubmittedMessage message, Clients::AnswerHandler answer);
   std::optional<std::string> rejection_reply(const SubmittedMessage& message);
+  bool has_message_memory(size_t body_bytes) const;
   void submit(SubmittedMessage message, Clients::AnswerHandler answer);
   void answer_submissions(const std::vector<policy::Action>& actions);
   std::string decide_submission(uint64_t number, const std::map<uint64_t, std::string>& rejections);
@@ -181,6 +182,7 @@
   void queue_deferred_arrival(const InheritedAttempt& inherited, const policy::AttemptEnded& end,
                               bool call_started);
   void hand_over();
+  void release_handed_over();
   void send_in_flight_calls();
   void send_listener();
   void send_clients();
@@ -226,6 +228,7 @@
   std::vector<policy::Event> events_;
   std::vector<Submission> submissions_;
   bool step_posted_ = false;
+  std::shared_ptr<MemoryPool> message_memory_;
   PendingMessages messages_;
   uint64_t last_excess_number_ = 0;  // last message accepted under a higher max_pending_messages; 0: none
   RouteWaits route_waits_;
--- a/relay/relay_handover.cpp
+++ b/relay/relay_handover.cpp
@@ -2,6 +2,7 @@
 // own to the successor.
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "net/log.h"
 #include "relay/errors.h"
@@ -156,9 +157,22 @@
   if (follower_) follower_->close();
   notices_.close();
   upstream_.close_idle();
+  release_handed_over();
   poll_shutdown();
 }
 
+// Drops what the successor has now, as the two processes share one memory limit. The messages of calls in
+// flight stay until their ends are reported.
+void Relay::release_handed_over() {
+  std::set<uint64_t> in_flight;
+  for (const Upstream::InFlightCall& call : upstream_.in_flight_calls()) {
+    for (const Upstream::InFlightAttempt& attempt : call.attempts) in_flight.insert(attempt.id);
+  }
+  messages_.keep_only(in_flight);
+  journal_.release_memory();
+  trim_memory();
+}
+
 void Relay::send_in_flight_calls() {
   const auto send = [this](const Endpoint& endpoint, Time started_at, std::map<std::string, int> attempts) {
     const ListedEndpoint* listed = directory_.find(endpoint);
--- a/relay/relay_operators.cpp
+++ b/relay/relay_operators.cpp
@@ -73,7 +73,9 @@
 
 // Returns the bytes that each use holds.
 std::map<std::string, size_t> Relay::held_bytes() const {
-  return {{"commands", command_memory_->used()}, {"journal", journal_.live_bytes()}};
+  return {{"commands", command_memory_->used()},
+          {"journal", journal_.live_message_bytes()},
+          {"messages", message_memory_->used()}};
 }
 
 std::string Relay::describe_held_memory() const {
--- a/relay/relay_recovery.cpp
+++ b/relay/relay_recovery.cpp
@@ -91,7 +91,7 @@
 void Relay::recover_messages() {
   Recovery recovery;
   recover_ordering_holds(recovery);
-  for (const JournaledMessage& entry : journal_.recovered()) {
+  for (const JournaledMessage& entry : journal_.take_recovered()) {
     entry.unacknowledged_answer ? recover_final_answer(entry) : recover_message(entry, recovery);
   }
   note_excess_messages();
@@ -128,8 +128,10 @@
 
 void Relay::recover_message(const JournaledMessage& entry, Recovery& recovery) {
   const uint64_t number = messages_.next_number();
-  PendingMessage& message = messages_.add(
-      number, {entry.message, clock_.to_steady(entry.deadline), entry.attempts, true, entry.terms_number});
+  PendingMessage& message =
+      messages_.add(number, {entry.message, clock_.to_steady(entry.deadline), entry.attempts, true,
+                             entry.terms_number, MemoryReservation(message_memory_)});
+  message.memory.add(message_bytes(entry.message.body.size()));  // it was taken on, whatever it takes
   RecoveredMessage recovered{{}, terms_of(message)};
   policy::MessageArrived& arrival = recovered.arrival;
   arrival.id = number;
--- a/relay/relay_submission.cpp
+++ b/relay/relay_submission.cpp
@@ -71,9 +71,21 @@
     log_submission(message, kNoRoom);
     return kNoRoom;
   }
+  if (!has_message_memory(message.body.size())) {
+    ++counts.overload;
+    connection_log_->note_refusal(RefusalReason::kNoMemory, message.id);
+    log_submission(message, kNoRoom);
+    return kNoRoom;
+  }
   return {};
 }
 
+// Returns whether the memory has room for one more message. The journal's records of open messages count as
+// well.
+bool Relay::has_message_memory(size_t body_bytes) const {
+  return message_memory_->has_room(message_bytes(body_bytes) + body_bytes + journal_.live_message_bytes());
+}
+
 void Relay::submit(SubmittedMessage message, Clients::AnswerHandler answer) {
   policy::MessageArrived arrival;
   arrival.id = messages_.next_number();
@@ -83,7 +95,10 @@
   arrival.destination = message.destination;
   arrival.ordering_key = message.ordering_key;
   const int64_t terms = delivery_terms_.current_number(config_.settings, message.message_class);
-  messages_.add(arrival.id, {std::move(message), arrival.deadline, 0, false, terms});
+  const size_t bytes = message_bytes(message.body.size());
+  PendingMessage& pending = messages_.add(arrival.id, {std::move(message), arrival.deadline, 0, false, terms,
+                                                       MemoryReservation(message_memory_)});
+  pending.memory.add(bytes);
   submissions_.push_back({arrival.id, std::move(answer)});
   queue_event(arrival);
 }
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -26,7 +26,7 @@
   tcp::endpoint address;
   std::string call_id;
   std::string idempotency_key;
-  std::string body;
+  SharedBytes body;
   Time timeout = 0;
   Time start_by = std::numeric_limits<Time>::max();  // no byte may be written later than this
   bool is_last_attempt = false;  // the message ends with this attempt's timeout: it is not sent again
--- a/relay/upstream_exchange.cpp
+++ b/relay/upstream_exchange.cpp
@@ -73,8 +73,9 @@
 }  // namespace
 
 std::string batch_body_part(const AttemptRequest& call) {
-  return call.call_id + " " + (call.idempotency_key.empty() ? "-" : call.idempotency_key) + " " +
-         std::to_string(call.body.size()) + "\r\n" + call.body + "\r\n";
+  std::string part = call.call_id + " " + (call.idempotency_key.empty() ? "-" : call.idempotency_key) + " " +
+                     std::to_string(call.body.size()) + "\r\n";
+  return part.append(call.body.view()).append("\r\n");
 }
 
 Upstream::Exchange::Exchange(Upstream& owner, std::vector<AttemptRequest> calls, bool is_health_check)
@@ -260,12 +261,14 @@
   if (is_health_check_) return;
   for (Attempt* attempt : starting) attempt->sent = true;
   if (is_batch_) {
-    for (const Attempt* attempt : starting) request_.body() += batch_body_part(attempt->call);
+    batch_body_.clear();
+    for (const Attempt* attempt : starting) batch_body_ += batch_body_part(attempt->call);
+    request_.body() = {batch_body_.data(), batch_body_.size()};
   } else {
-    AttemptRequest& only = starting.front()->call;
+    const AttemptRequest& only = starting.front()->call;
     request_.set("X-Call-Id", only.call_id);
     if (!only.idempotency_key.empty()) request_.set("Idempotency-Key", only.idempotency_key);
-    request_.body() = std::move(only.body);
+    request_.body() = {only.body.view().data(), only.body.size()};
   }
   const Time remaining_ms = std::max<Time>(1, (deadline_ - steady_now()) / 1000);
   request_.set("X-Budget", std::to_string(remaining_ms) + "m");
--- a/relay/upstream_exchange.h
+++ b/relay/upstream_exchange.h
@@ -105,8 +105,10 @@
   bool is_health_check_;
   net::Stream stream_;
   boost::asio::steady_timer timer_;
-  boost::beast::http::request<boost::beast::http::string_body> request_;
-  std::optional<boost::beast::http::request_serializer<boost::beast::http::string_body>> unsent_;
+  using RequestBody = boost::beast::http::span_body<const char>;
+  std::string batch_body_;  // empty for a single message, whose own bytes are sent
+  boost::beast::http::request<RequestBody> request_;
+  std::optional<boost::beast::http::request_serializer<RequestBody>> unsent_;
   boost::beast::flat_buffer buffer_{kMaxResponseBytes + kReadBytes};  // never full: a full one throws
   std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
   Time started_at_ = 0;
