tests: hostile crowds keep little in their own buffers

HostileCrowd.KeepsItsLimitsWhenAThirdReadNothing failed twice (47 and 40 of 110 sound clients refused at once), once in ctest -j7 and once beside two of its kind. Trace: while six of them run, the system's TCP memory stands at 428,181 pages over a pressure mark of 383,835 (57 s under pressure, 11,860 receive drops): each hostile client had 2.4 MB in its own send buffer. That is the machine's, not the relay's. The crowd's buffers are bounded to 128 KiB; what it sends, the checks and the bounds stay.

--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -14,6 +14,7 @@
 
 constexpr auto kTick = std::chrono::milliseconds(5);
 constexpr auto kReopenDelay = std::chrono::milliseconds(20);
+constexpr int kBufferBytes = 128 * 1024;  // of a hostile connection, in the system
 constexpr size_t kLargeBody = 65'000;
 constexpr size_t kUnsentEnd = 500;  // bytes that kStopsInBody keeps back
 
@@ -91,6 +92,10 @@
 void HostileClients::open(Connection& connection) {
   connection = {};
   connection.fd = connect_without_waiting(port_);
+  // Many megabytes in the client's own buffers would use up the memory that the system has for all
+  // connections.
+  ::setsockopt(connection.fd, SOL_SOCKET, SO_SNDBUF, &kBufferBytes, sizeof kBufferBytes);
+  ::setsockopt(connection.fd, SOL_SOCKET, SO_RCVBUF, &kBufferBytes, sizeof kBufferBytes);
   connection.opened_at = Clock::now();
   connection.next_send_at = connection.opened_at;
 }
