relay: keep of an endpoint's answer only what is read, and bound long heads

What callers saw: with endpoints whose answers have heads of many short fields and stop in the body, a process of 32 MB grew to 34.7 MB; answers of 48 KiB that stop were kept though nothing reads them.

Cause: a parsed head of 7.5 kB in 5-byte fields takes some 120 kB, and was kept until the body ended; a body was kept although that of a single message means nothing.

Change: the three fields that are read are taken once the head is complete, and the others dropped. The body of a single call is read and dropped; that of a batch may have a line for each message and 2 KiB. A head of more than 2 KiB asks for memory; where that has run out, the answer counts as one that was cut off (response_cut in the log).

--- a/relay/descriptor_limits.cpp
+++ b/relay/descriptor_limits.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "relay/control.h"
+#include "relay/memory_limits.h"
 
 namespace turntally::relay {
 namespace {
@@ -50,6 +51,7 @@
   limits.connect_timeout = config.settings.connect_timeout;
   limits.idle_timeout = config.settings.connection_idle_timeout;
   limits.max_connections = config.max_descriptors - own_descriptors(config) - max_clients(config);
+  limits.response_memory->set_limit(memory_limits(config).calls);
   return limits;
 }
 
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -21,7 +21,7 @@
                    MayStart may_start, AttemptEndedHandler on_attempt_ended,
                    HealthCheckEndedHandler on_health_check_ended)
     : io_(io),
-      limits_(limits),
+      limits_(std::move(limits)),
       report_fields_(std::move(report_fields)),
       may_start_(std::move(may_start)),
       on_attempt_ended_(std::move(on_attempt_ended)),
@@ -35,7 +35,8 @@
 }
 
 void Upstream::set_limits(Limits limits, std::vector<std::string> report_fields) {
-  limits_ = limits;
+  limits.response_memory = limits_.response_memory;
+  limits_ = std::move(limits);
   report_fields_ = std::move(report_fields);
 }
 
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -12,8 +12,10 @@
 #include <utility>
 #include <vector>
 
+#include "net/log_rate_limit.h"
 #include "net/stream.h"
 #include "relay/directory.h"
+#include "relay/memory_pool.h"
 #include "relay/message.h"
 
 namespace turntally::relay {
@@ -42,6 +44,7 @@
     Time connect_timeout = 0;
     Time idle_timeout = 0;         // after which an endpoint closes an idle connection
     size_t max_connections = 256;  // with a call on them or idle
+    std::shared_ptr<MemoryPool> response_memory = std::make_shared<MemoryPool>();  // for responses' heads
   };
   // Called for each message right before the first byte of its call; a message that may not start ends as
   // kNotStarted.
@@ -55,7 +58,7 @@
            HealthCheckEndedHandler on_health_check_ended);
   ~Upstream();
 
-  // Applies to calls that start from now on.
+  // Applies to calls that start from now on. The memory stays the same.
   void set_limits(Limits limits, std::vector<std::string> report_fields);
 
   void call(AttemptRequest call);
@@ -105,6 +108,7 @@
   uint64_t last_health_check_ = 0;
   uint64_t messages_written_ = 0;  // messages written completely
   size_t idle_count_ = 0;
+  net::log::RateLimit no_memory_lines_{5};
   std::map<Endpoint, std::vector<Idle>> idle_;  // the most recently used last
   // By kind (health check or not) and first message.
   std::map<std::tuple<bool, uint64_t, int>, std::shared_ptr<Exchange>> exchanges_;
--- a/relay/upstream_exchange.cpp
+++ b/relay/upstream_exchange.cpp
@@ -8,6 +8,9 @@
 #include <charconv>
 #include <cmath>
 
+#include "net/address.h"
+#include "net/log.h"
+
 namespace turntally::relay {
 namespace {
 
@@ -85,7 +88,8 @@
       address_(calls.front().address),
       is_health_check_(is_health_check),
       stream_(owner.io_),
-      timer_(owner.io_) {
+      timer_(owner.io_),
+      head_memory_(owner.limits_.response_memory) {
   for (AttemptRequest& call : calls) attempts_.push_back({std::move(call), {}});
 }
 
@@ -322,17 +326,21 @@
     response_started_ = true;
     schedule_timer(std::min(deadline_, steady_now() + kMaxResponseTime));
   }
-  if (!parse() || bytes_read_ > kMaxResponseBytes) return finish_malformed();
+  if (!parse() || bytes_read_ > kMaxResponseBytes || !reserve_head_memory()) return finish_malformed();
   if (parser_ && parser_->is_done()) on_response();
 }
 
+void Upstream::Exchange::begin_response() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->body_limit(kMaxBodyBytes);
+  parser_->get().body().max_bytes = is_batch_ ? max_batch_response_bytes() : 0;
+  fields_ = {};
+}
+
 bool Upstream::Exchange::parse() {
   while (true) {
-    if (!parser_) {
-      parser_.emplace();
-      parser_->eager(true);
-      parser_->body_limit(kMaxBodyBytes);
-    }
+    if (!parser_) begin_response();
     if (!status_line_parsed_) {
       const std::string_view head(static_cast<const char*>(buffer_.data().data()), buffer_.size());
       status_line_says_ok_ = is_ok_status_line(head);
@@ -343,6 +351,7 @@
     status_line_parsed_ = status_line_parsed_ || taken > 0;
     buffer_.consume(taken);
     if (error && error != http::error::need_more) return false;
+    if (parser_->is_header_done()) take_fields();
     if (!parser_->is_done() || parser_->get().result_int() >= 200) return true;
     parser_.reset();  // 1xx: the final response follows
     status_line_parsed_ = false;
@@ -350,6 +359,35 @@
   }
 }
 
+// Keeps the fields that are read and drops the others: many short ones take many times the bytes of the head.
+void Upstream::Exchange::take_fields() {
+  auto& response = parser_->get();
+  if (response.begin() == response.end()) return;
+  const auto value = [&](std::string_view name) {
+    return std::string(to_string_view(response[{name.data(), name.size()}]));
+  };
+  fields_ = {value("Retry-After"), value("X-Load-Report"), value("X-Egress-Full") == "1"};
+  response.clear();
+  head_memory_.release();
+}
+
+// Returns false if a long head has begun and there is no memory for it.
+bool Upstream::Exchange::reserve_head_memory() {
+  if (buffer_.size() <= kFreeHeadBytes || head_memory_.bytes() > 0) return true;
+  if (head_memory_.try_add(kMaxHeadBytes)) return true;
+  if (const auto left_out = owner_->no_memory_lines_.permit(steady_now()))
+    net::log::warn("response_cut", "reason", "no_memory", "address", net::text_of(address_), "left_out",
+                   *left_out);
+  return false;
+}
+
+// A line for each message, and some room for the endpoint's own.
+size_t Upstream::Exchange::max_batch_response_bytes() const {
+  size_t bytes = kFreeHeadBytes;
+  for (const Attempt& attempt : attempts_) bytes += attempt.call.call_id.size() + kMaxBatchResultBytes;
+  return bytes;
+}
+
 void Upstream::Exchange::on_closed(const Error& error) {
   if (!response_started_) return finish(policy::Outcome::kReset);
   Error parse_error;
@@ -398,15 +436,15 @@
 void Upstream::Exchange::on_response() {
   const auto& response = parser_->get();
   reusable_ = parser_->keep_alive() && buffer_.size() == 0;
-  load_report_ = parse_report(to_string_view(response["X-Load-Report"]), owner_->report_fields_);
+  load_report_ = parse_report(fields_.load_report, owner_->report_fields_);
   switch (response.result_int()) {
     case 200:
       if (is_batch_) {
-        if (!parse_batch_response(response.body())) {
+        if (!parse_batch_response(response.body().text)) {
           for (Attempt& attempt : attempts_) attempt.outcome.reset();
           return finish_malformed();
         }
-        retry_after_ = parse_retry_after(to_string_view(response[http::field::retry_after]));
+        retry_after_ = parse_retry_after(fields_.retry_after);
         return finish(policy::Outcome::kOk);
       }
       final_ = true;
@@ -415,11 +453,10 @@
       final_ = true;
       return finish(policy::Outcome::kNotStarted);
     case 429:
-      retry_after_ = parse_retry_after(to_string_view(response[http::field::retry_after]));
+      retry_after_ = parse_retry_after(fields_.retry_after);
       return finish(policy::Outcome::kRejected);
     case 503:
-      return finish(to_string_view(response["X-Egress-Full"]) == "1" ? policy::Outcome::kNotStarted
-                                                                     : policy::Outcome::kRejected);
+      return finish(fields_.egress_full ? policy::Outcome::kNotStarted : policy::Outcome::kRejected);
     case 504:
       return finish(policy::Outcome::kNotStarted);
     default:
--- a/relay/upstream_exchange.h
+++ b/relay/upstream_exchange.h
@@ -13,6 +13,7 @@
 
 #include "net/stream.h"
 #include "relay/kept_connection.h"
+#include "relay/response_body.h"
 #include "relay/upstream.h"
 
 namespace turntally::relay {
@@ -37,7 +38,10 @@
  private:
   static constexpr size_t kMaxBodyBytes = size_t{64} * 1024;
   static constexpr size_t kMaxResponseBytes = 2 * kMaxBodyBytes;  // including heads and 1xx responses
-  static constexpr size_t kReadBytes = size_t{4} * 1024;          // per read
+  static constexpr size_t kReadBytes = size_t{2} * 1024;          // per read
+  static constexpr size_t kFreeHeadBytes = size_t{2} * 1024;      // of a head, without a reservation
+  static constexpr size_t kMaxHeadBytes = size_t{16} * 1024;      // of a head in its buffer
+  static constexpr size_t kMaxBatchResultBytes = 16;              // of a message's line, besides its id
   static constexpr Time kNever = std::numeric_limits<Time>::max();
 
   struct Attempt {
@@ -85,6 +89,7 @@
   // Returns false if the bytes are not a response. The buffer holds the status line until the parser takes
   // it.
   bool parse();
+  void begin_response();
   // Handles a close by the endpoint, which may mark the end of a response.
   void on_closed(const boost::system::error_code& error);
   // Ends the call when its response cannot be completed. The call may have run whatever status the response
@@ -94,6 +99,9 @@
   // Parses one line per message. Returns false if a line is invalid or missing; then none of them counts.
   bool parse_batch_response(std::string_view body);
   void on_response();
+  void take_fields();
+  bool reserve_head_memory();
+  size_t max_batch_response_bytes() const;
   void finish(policy::Outcome outcome);
   void end(Attempt& attempt, policy::Outcome outcome);
 
@@ -110,7 +118,15 @@
   boost::beast::http::request<RequestBody> request_;
   std::optional<boost::beast::http::request_serializer<RequestBody>> unsent_;
   boost::beast::flat_buffer buffer_{kMaxResponseBytes + kReadBytes};  // never full: a full one throws
-  std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+  std::optional<boost::beast::http::response_parser<ResponseBody>> parser_;
+  // The fields of the response's head that are read.
+  struct ResponseFields {
+    std::string retry_after;
+    std::string load_report;
+    bool egress_full = false;
+  };
+  ResponseFields fields_;
+  MemoryReservation head_memory_;  // of a long head that is not complete
   Time started_at_ = 0;
   Time deadline_ = 0;
   Time give_up_at_ = 0;     // when the whole call is given up
