relay: refuse requests that are read after their client has left

By the protocol a client that closes has given up; whatever is sent under the old id counts for nothing.

Cause: the end of a connection was looked for only behind 400 ms of waiting and only where nothing was unread before it.

Change: right before a message is submitted the connection is asked for its peer's end or reset, also behind unread bytes (POLLRDHUP). Such a request is refused with -BUSY, which takes nothing on: right for a client that only ended its sending, and without effect for one that is gone. Logged and counted as client_gone.

--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -1,6 +1,7 @@
 #include "relay/client_session.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -20,7 +21,6 @@
 constexpr Time kMaxCommandTime = 2 * kSecond;  // from a command's first byte to its last
 // The first command has the rest of kMaxInitialIdle, but at least this time.
 constexpr Time kMinFirstCommandTime = 3 * kSecond / 10;
-constexpr Time kClientTimeout = 2 * kSecond / 5;    // after which a client gives up its request
 constexpr Time kMaxWriteTime = 2 * kSecond;         // for the client to read an answer
 constexpr Time kMaxLingerAfterError = 5 * kSecond;  // for a client that is still sending to read the error
 constexpr Time kMaxLinger = 3 * kSecond / 2;  // after a close between requests, for the client to close too
@@ -32,6 +32,7 @@
 // For a command or an answer that makes no progress, if its place is needed.
 constexpr Time kMinStall = 3 * kSecond / 10;
 constexpr Time kMinLingerAfterError = kSecond;
+const std::string kClientGone = "-BUSY";  // nothing was taken on
 constexpr Time kPauseAfterDrop = kSecond / 5;
 const std::string kNoRoom = "-BUSY 500";  // others need the memory or the place; they end within that time
 // After a close between requests, for bytes that the client has already sent.
@@ -183,7 +184,6 @@
   if (count == 0) return close(CloseReason::kClosedByClient);
   bytes_read_ += count;
   const Time time_waiting = time_in_socket();
-  if (time_waiting >= kClientTimeout && peer_closed()) return close(CloseReason::kClosedByClient);
   received_at_ = steady_now() - time_waiting;
   parser_.feed({owner_->read_buffer_.data(), count});
   proceed();
@@ -196,13 +196,13 @@
   return Time{1000} * info.tcpi_last_data_recv;
 }
 
-bool Clients::Session::peer_closed() {
-  char byte = 0;
-  ssize_t received = 0;
+bool Clients::Session::has_client_left() {
+  pollfd state{stream_.socket().native_handle(), POLLRDHUP, 0};
+  int ready = 0;
   do {
-    received = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  } while (received < 0 && errno == EINTR);
-  return received == 0;
+    ready = ::poll(&state, 1, 0);
+  } while (ready < 0 && errno == EINTR);
+  return ready > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 bool Clients::Session::reserve_memory(size_t bytes) {
@@ -272,6 +272,10 @@
   try {
     SubmittedMessage message = parse_put(std::move(words));
     memory_.release();  // the message has a reservation of its own
+    if (has_client_left()) {
+      owner_->resources_.log->note_refusal(RefusalReason::kClientGone, message.id);
+      return answer(kClientGone);
+    }
     message.time_to_live = std::max<Time>(0, message.time_to_live - (steady_now() - received_at_));
     owner_->submit_(std::move(message),
                     [self = shared_from_this()](const std::string& line) { self->answer(line); });
--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -88,9 +88,9 @@
   // Returns how long ago the newest byte arrived. A message's time runs from that moment, also while this
   // process was busy or the connection waited to be accepted.
   Time time_in_socket();
-  // Returns whether the client closed the connection after its request: it has given up, and has submitted
-  // the message elsewhere under a new id.
-  bool peer_closed();
+  // Returns whether the client has closed or reset the connection, or ended its sending, also behind bytes
+  // that have not been read: it has given up its requests, and has submitted them elsewhere under new ids.
+  bool has_client_left();
   bool reserve_memory(size_t bytes);
   void refuse_dropped();
   void handle(RespCommand command);
