relay: remember which messages have ended, and run an id once

Cause: an id was known only while its message was open.

An id that comes again is answered +OK and not run; if its message had a final answer, that is sent once more. A client that asks again waits for it no longer.

--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -18,6 +18,8 @@
 
 constexpr double kMaxFileShare = 0.42;  // of the disk limit; old and new file together stay well below it
 constexpr double kAcceptShare = 0.75;   // of the maximum file size; the rest is for later records
+// Of the maximum file size: for messages that have ended. Out of the part for later records.
+constexpr double kFinishedShare = 0.05;
 constexpr size_t kReservedBytesPerMessage = 512;  // for the records of its attempts and its end
 constexpr size_t kHeaderBytes = 8;                // length and checksum
 constexpr std::chrono::seconds kOpenTimeout{5};
@@ -118,6 +120,28 @@
   return FinalAnswer{id, returned, in.number()};
 }
 
+// How a message ended, in its record of kAcknowledged.
+enum FinishedState : int64_t { kDelivered = 0, kFailed = 1, kReturned = 2 };
+
+std::string finished_payload(const std::string& id, const std::optional<FinalAnswer>& answer, Time ended_at) {
+  const FinishedState state = !answer ? kDelivered : answer->returned ? kReturned : kFailed;
+  return RecordWriter(kAcknowledged, id)
+      .number(state)
+      .number(answer ? answer->retry_after : 0)
+      .number(ended_at)
+      .payload();
+}
+
+FinishedRecord read_finished(const std::string& id, RecordReader& in) {
+  FinishedRecord record{id, {}, 0};
+  if (!in.more()) return record;  // older records have the id alone
+  const int64_t state = in.number();
+  const Time retry_after = in.number();
+  record.ended_at = in.number();
+  if (state != kDelivered) record.answer = FinalAnswer{id, state == kReturned, retry_after};
+  return record;
+}
+
 bool write_all(int file, std::string_view bytes) {
   while (!bytes.empty()) {
     const ssize_t written = ::write(file, bytes.data(), bytes.size());
@@ -207,6 +231,8 @@
 void Journal::release_memory() {
   live_records_.clear();
   places_.clear();
+  finished_records_.clear();
+  finished_bytes_ = 0;
   recovered_ = {};
   live_bytes_ = fact_bytes_;
 }
@@ -229,6 +255,15 @@
   const char kind = in.kind();
   const std::string id = in.text();
   if (kind == kFact) return set_fact(id, in.text());
+  if (kind == kAcknowledged) {
+    recovered_finished_.push_back(read_finished(id, in));
+    keep_finished_record(framed(record));
+    if (recovered_finished_.size() > 2 * finished_records_.size() + 1) {
+      // Only those whose records are kept are of use.
+      const auto excess = static_cast<std::ptrdiff_t>(recovered_finished_.size() - finished_records_.size());
+      recovered_finished_.erase(recovered_finished_.begin(), recovered_finished_.begin() + excess);
+    }
+  }
   if (kind == kAccepted) {
     const auto earlier = places_.find(id);
     if (earlier != places_.end()) unfinished.erase(earlier->second);
@@ -357,13 +392,25 @@
       RecordWriter(kFinalAnswer, answer.id).number(answer.returned).number(answer.retry_after).payload());
 }
 
-void Journal::record_acknowledged(const std::string& id) {
+void Journal::record_acknowledged(const std::string& id, const std::optional<FinalAnswer>& answer,
+                                  Time ended_at) {
   const auto place = places_.find(id);
   if (place == places_.end()) return;
   live_bytes_ -= live_records_[place->second].size() + kReservedBytesPerMessage;
   live_records_.erase(place->second);
   places_.erase(place);
-  write(framed(RecordWriter(kAcknowledged, id).payload()));
+  const std::string record = framed(finished_payload(id, answer, ended_at));
+  keep_finished_record(record);
+  write(record);
+}
+
+void Journal::keep_finished_record(std::string record) {
+  finished_bytes_ += record.size();
+  finished_records_.push_back(std::move(record));
+  while (static_cast<double>(finished_bytes_) > kFinishedShare * static_cast<double>(max_file_bytes_)) {
+    finished_bytes_ -= finished_records_.front().size();
+    finished_records_.pop_front();
+  }
 }
 
 bool Journal::append(const std::string& id, const std::string& payload) {
@@ -428,6 +475,12 @@
   for (const auto& [name, value] : facts_) {
     if (!add(framed(RecordWriter(kFact, name).text(value).payload()))) return {};
   }
+  // What is open needs the room more. Its records come behind, as an id may have been taken on anew.
+  if (live_bytes_ + finished_bytes_ <= max_file_bytes_) {
+    for (const std::string& record : finished_records_) {
+      if (!add(record)) return {};
+    }
+  }
   for (const auto& [place, records] : live_records_) {
     if (!add(records)) return {};
   }
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -2,6 +2,7 @@
 // process.
 #pragma once
 
+#include <deque>
 #include <filesystem>
 #include <map>
 #include <optional>
@@ -31,6 +32,13 @@
   int64_t terms_number = 0;  // number of its DeliveryTerms; 0: not recorded
 };
 
+// A message that has ended and been acknowledged.
+struct FinishedRecord {
+  std::string id;
+  std::optional<FinalAnswer> answer;  // nothing if it was delivered
+  Time ended_at = 0;                  // 0: not recorded
+};
+
 // A fact belongs to no message. It has one value, which a later record replaces; an empty value removes it.
 struct Fact {
   std::string name;
@@ -58,6 +66,9 @@
   // Drops what stands in memory. Nothing may be recorded after that: another process owns the folder.
   void release_memory();
 
+  // Returns the messages that had ended when the journal was opened, the oldest first, and keeps no copy.
+  std::vector<FinishedRecord> take_finished() { return std::exchange(recovered_finished_, {}); }
+
   // Returns the current facts by name.
   const std::map<std::string, std::string>& facts() const { return facts_; }
 
@@ -71,7 +82,10 @@
   // Returns false if the record is not written yet; write_pending() writes it. Until then the next process
   // would not know that the message has ended.
   bool record_final_answer(const FinalAnswer& answer);
-  void record_acknowledged(const std::string& id);
+  // Records the end of a message. The newest such records are kept for the next process, in a small part of
+  // the file. `answer`: the acknowledged final answer; nothing if the message was delivered.
+  void record_acknowledged(const std::string& id, const std::optional<FinalAnswer>& answer = {},
+                           Time ended_at = 0);
   // Writes what could not be written earlier, on a full disk. Returns false if there is still no room.
   bool write_pending() { return !incomplete_ || compact(); }
   void record_fact(const std::string& name, const std::string& value) { record_facts({{name, value}}); }
@@ -88,6 +102,7 @@
   void replay();
   void apply_record(std::string_view record, std::map<uint64_t, JournaledMessage>& unfinished);
   void set_fact(const std::string& name, const std::string& value);
+  void keep_finished_record(std::string record);
   bool append(const std::string& id, const std::string& payload);
   bool write(std::string_view bytes);
   bool compact();
@@ -107,7 +122,10 @@
   std::map<std::string, uint64_t> places_;  // order of acceptance of the live messages, by id
   std::map<uint64_t, std::string>
       live_records_;  // records of the live messages as written, by order of acceptance
+  std::deque<std::string> finished_records_;  // of the newest messages that have ended, as written
+  size_t finished_bytes_ = 0;
   std::vector<JournaledMessage> recovered_;
+  std::vector<FinishedRecord> recovered_finished_;
   std::map<std::string, std::string> facts_;
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -65,13 +65,10 @@
       ordering_(journal_, clock_),
       policy_(limit_concurrent_calls(config), config.seed),
       message_memory_(std::make_shared<MemoryPool>(memory_limits(config).messages)),
+      finished_messages_(memory_limits(config).finished_ids),
       wake_timer_(io),
       stop_timer_(io),
-      notices_(io, config.discovery,
-               [this](const std::string& id) {
-                 journal_.record_acknowledged(id);
-                 ordering_.acknowledge(id);
-               }),
+      notices_(io, config.discovery, [this](const std::string& id) { on_notice_taken(id); }),
       final_answers_(io, journal_, notices_),
       upstream_(
           io, upstream_limits(config), config.report_fields,
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -23,6 +23,7 @@
 #include "relay/errors.h"
 #include "relay/fence.h"
 #include "relay/final_answer_publisher.h"
+#include "relay/finished_messages.h"
 #include "relay/handover.h"
 #include "relay/handover_frames.h"
 #include "relay/journal.h"
@@ -123,6 +124,8 @@
   void recover_endpoints();
   void recover_fact(const std::string& name, const nlohmann::json& value);
   void recover_messages();
+  void recover_finished_messages();
+  void on_notice_taken(const std::string& id);
   void recover_ordering_holds(Recovery& recovery);
   void recover_final_answer(const JournaledMessage& entry);
   void recover_message(const JournaledMessage& entry, Recovery& recovery);
@@ -141,6 +144,7 @@
   // Submission, delivery terms and ordering of messages: relay_submission.cpp.
   void accept_message(SubmittedMessage message, Clients::AnswerHandler answer);
   std::optional<std::string> rejection_reply(const SubmittedMessage& message);
+  bool answer_finished(const SubmittedMessage& message, const Clients::AnswerHandler& answer);
   bool has_message_memory(size_t body_bytes) const;
   void submit(SubmittedMessage message, Clients::AnswerHandler answer);
   void answer_submissions(const std::vector<policy::Action>& actions);
@@ -230,6 +234,7 @@
   bool step_posted_ = false;
   std::shared_ptr<MemoryPool> message_memory_;
   PendingMessages messages_;
+  FinishedMessages finished_messages_;
   uint64_t last_excess_number_ = 0;  // last message accepted under a higher max_pending_messages; 0: none
   RouteWaits route_waits_;
   CallBatches batches_;
--- a/relay/relay_dispatch.cpp
+++ b/relay/relay_dispatch.cpp
@@ -245,12 +245,20 @@
   }
 }
 
+// Records that the platform has taken a message's final answer.
+void Relay::on_notice_taken(const std::string& id) {
+  const FinishedMessages::Finished* finished = finished_messages_.find(id, steady_now());
+  journal_.record_acknowledged(id, finished == nullptr ? std::nullopt : finished->answer, clock_.now());
+  ordering_.acknowledge(id);
+}
+
 // Ends a message. A final answer, if there is one, remains to be acknowledged.
 void Relay::finish_message(uint64_t number, std::optional<FinalAnswer> answer) {
   const PendingMessage& message = *messages_.find(number);
   const SubmittedMessage& submitted = message.submitted;
   net::log::debug("end", "id", submitted.id, "destination", submitted.destination, "state", log_state(answer),
                   "after_ms", answer ? answer->retry_after / kMs : 0);
+  finished_messages_.add(submitted.id, answer, steady_now());
   if (answer) {
     ClassMetrics& counts = metrics_.classes[submitted.message_class];
     ++(answer->returned ? counts.overload : counts.error);
@@ -258,7 +266,7 @@
       ordering_.add_unacknowledged(submitted.id, submitted.ordering_key);
     final_answers_.publish(std::move(*answer), message.deadline);
   } else {
-    journal_.record_acknowledged(submitted.id);
+    journal_.record_acknowledged(submitted.id, {}, clock_.now());
   }
   messages_.erase(number);
   if (last_excess_number_ == 0) return;
--- a/relay/relay_handover.cpp
+++ b/relay/relay_handover.cpp
@@ -169,6 +169,7 @@
     for (const Upstream::InFlightAttempt& attempt : call.attempts) in_flight.insert(attempt.id);
   }
   messages_.keep_only(in_flight);
+  finished_messages_.clear();
   journal_.release_memory();
   trim_memory();
 }
--- a/relay/relay_operators.cpp
+++ b/relay/relay_operators.cpp
@@ -75,7 +75,8 @@
 std::map<std::string, size_t> Relay::held_bytes() const {
   return {{"commands", command_memory_->used()},
           {"journal", journal_.live_message_bytes()},
-          {"messages", message_memory_->used()}};
+          {"messages", message_memory_->used()},
+          {"finished_ids", finished_messages_.bytes()}};
 }
 
 std::string Relay::describe_held_memory() const {
--- a/relay/relay_recovery.cpp
+++ b/relay/relay_recovery.cpp
@@ -90,6 +90,7 @@
 // any others.
 void Relay::recover_messages() {
   Recovery recovery;
+  recover_finished_messages();
   recover_ordering_holds(recovery);
   for (const JournaledMessage& entry : journal_.take_recovered()) {
     entry.unacknowledged_answer ? recover_final_answer(entry) : recover_message(entry, recovery);
@@ -100,6 +101,15 @@
   std::erase_if(inherited_attempts_, [](const auto& entry) { return entry.second.message_number == 0; });
 }
 
+// Recovers which messages have ended, so that one whose id comes again is not run again.
+void Relay::recover_finished_messages() {
+  const Time now = steady_now();
+  for (FinishedRecord& record : journal_.take_finished()) {
+    const Time ended_at = record.ended_at == 0 ? now : std::min(now, clock_.to_steady(record.ended_at));
+    finished_messages_.add(record.id, std::move(record.answer), ended_at);
+  }
+}
+
 // Represents each hold by the call of a substitute message, as the message that caused the hold may have
 // ended.
 void Relay::recover_ordering_holds(Recovery& recovery) {
@@ -123,6 +133,7 @@
   const DeliveryTerms terms =
       delivery_terms_.find(config_.settings, message.message_class, entry.terms_number);
   if (is_ordered(terms, message.ordering_key)) ordering_.add_unacknowledged(message.id, message.ordering_key);
+  finished_messages_.add(message.id, entry.unacknowledged_answer, steady_now());
   notices_.add(*entry.unacknowledged_answer);
 }
 
--- a/relay/relay_submission.cpp
+++ b/relay/relay_submission.cpp
@@ -45,10 +45,22 @@
     submissions_.push_back({*number, std::move(answer)});
     return;
   }
+  if (answer_finished(message, answer)) return;
   if (const auto rejected = rejection_reply(message)) return answer(*rejected);
   submit(std::move(message), std::move(answer));
 }
 
+// Answers a message that was taken on before and has ended, if it is one: it is not run again. Its final
+// answer, if it has one, is sent once more, as the client may not have had it.
+bool Relay::answer_finished(const SubmittedMessage& message, const Clients::AnswerHandler& answer) {
+  const FinishedMessages::Finished* finished = finished_messages_.find(message.id, steady_now());
+  if (finished == nullptr) return false;
+  log_submission(message, kAccepted);
+  answer(kAccepted);
+  if (finished->answer) notices_.add({message.id, finished->answer->returned, finished->answer->retry_after});
+  return true;
+}
+
 // Returns the reply to a message that is refused before the policy sees it, and counts it; nullopt if it is
 // not refused.
 std::optional<std::string> Relay::rejection_reply(const SubmittedMessage& message) {
--- a/tests/relay/parts_test.cpp
+++ b/tests/relay/parts_test.cpp
@@ -7,6 +7,7 @@
 #include "relay/config.h"
 #include "relay/discovery.h"
 #include "relay/errors.h"
+#include "relay/finished_messages.h"
 #include "relay/journal.h"
 #include "relay/put_command.h"
 #include "relay/resp.h"
@@ -286,6 +287,57 @@
   EXPECT_EQ(left[2].unacknowledged_answer->retry_after, 500);
 }
 
+// After a compaction the next process did not know which messages had ended, and ran an id again.
+TEST_F(JournalTest, RecoversEndsAlsoAfterCompaction) {
+  constexpr size_t kDiskBytes = 50'000;
+  constexpr int kMessages = 2000;  // some ten times what the file holds
+  {
+    Journal journal(folder_, kDiskBytes);
+    for (int i = 0; i < kMessages; ++i) {
+      const std::string id = "m-" + std::to_string(i);
+      ASSERT_TRUE(journal.record_accepted(message(id), 1234));
+      const bool is_delivered = i % 2 == 0;
+      journal.record_acknowledged(id, is_delivered ? std::nullopt : std::optional(FinalAnswer{id, true, 500}),
+                                  i);
+    }
+    ASSERT_LT(bytes().size(), kDiskBytes);
+  }
+  Journal journal(folder_, kDiskBytes);
+  const std::vector<FinishedRecord> finished = journal.take_finished();
+  ASSERT_GE(finished.size(), 10u);
+  EXPECT_EQ(finished.back().id, "m-1999");
+  EXPECT_EQ(finished.back().ended_at, 1999);
+  ASSERT_TRUE(finished.back().answer);
+  EXPECT_EQ(finished.back().answer->retry_after, 500);
+  EXPECT_FALSE(finished[finished.size() - 2].answer);
+}
+
+// A message whose id had been used before was lost if the record of the earlier end came behind it.
+TEST_F(JournalTest, KeepsOpenMessageWhoseIdHadEndedBefore) {
+  {
+    Journal journal(folder_, 50'000);
+    ASSERT_TRUE(journal.record_accepted(message("again"), 1));
+    journal.record_acknowledged("again");
+    ASSERT_TRUE(journal.record_accepted(message("again"), 2));
+    const size_t before = bytes().size();
+    for (int i = 0; bytes().size() >= before && i < 1000; ++i) journal.record_fact("f", std::to_string(i));
+  }
+  const Journal journal(folder_, 50'000);
+  ASSERT_EQ(journal.recovered().size(), 1u);
+  EXPECT_EQ(journal.recovered()[0].deadline, 2);
+}
+
+// The ids of ended messages are names that clients choose: they must not fill the memory.
+TEST(FinishedMessages, ForgetsTheOldestBeyondItsMemoryAndTime) {
+  constexpr size_t kMaxBytes = 100'000;
+  FinishedMessages finished(kMaxBytes);
+  for (int i = 0; i < 100'000; ++i) finished.add("m-" + std::to_string(i), {}, i);
+  EXPECT_LE(finished.bytes(), kMaxBytes);
+  EXPECT_EQ(finished.find("m-0", 100'000), nullptr);
+  EXPECT_NE(finished.find("m-99999", 100'000), nullptr);
+  EXPECT_EQ(finished.find("m-99999", 100'000 + FinishedMessages::kRememberedFor), nullptr);
+}
+
 // SIGKILL may interrupt a write after any byte: records that were complete before are kept.
 TEST_F(JournalTest, SurvivesTruncationAtAnyByte) {
   size_t first = 0;
