relay: a module of its own for what is read of a response's head

The readers of the status line, of Retry-After and of the load report, which need no connection, move to response_fields.h; nothing else changes.

--- a/relay/upstream_exchange.cpp
+++ b/relay/upstream_exchange.cpp
@@ -5,8 +5,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 
 #include "net/address.h"
 #include "net/log.h"
@@ -18,61 +16,12 @@
 using Error = boost::system::error_code;
 
 constexpr unsigned kHttpVersion = 11;  // 1.1 in Beast's notation
-constexpr Time kSecond = 1'000'000;
 
 // A response that has begun is complete within this time or never.
 constexpr Time kMaxResponseTime = 300 * 1000;
-constexpr Time kMaxRetryAfter = 3600 * kSecond;
-constexpr double kMaxReportedValue = 1e9;
-constexpr std::string_view kVersionPrefix = "HTTP/1.";
-
-// Returns whether the bytes begin with a complete status line with status 200, also if nothing after it can
-// be parsed. A line that breaks off after its status proves no delivery: the endpoint counts a message as
-// delivered with the last byte of that line.
-bool is_ok_status_line(std::string_view head) {
-  constexpr std::string_view kStatus = " 200";
-  const size_t code = kVersionPrefix.size() + 1;
-  return head.starts_with(kVersionPrefix) && head.find('\n') != head.npos &&
-         head.size() > code + kStatus.size() && head.substr(code, kStatus.size()) == kStatus &&
-         std::string_view(" \r\n").find(head[code + kStatus.size()]) != std::string_view::npos;
-}
-
-std::optional<double> parse_decimal(std::string_view text) {
-  double value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value) || value < 0)
-    return {};
-  return value;
-}
-
-// Returns 0 if the text is not a number. A wait that outlasts every pending message is kept, as it binds
-// later ones, but limited: a mistaken number must not exclude an endpoint for good.
-Time parse_retry_after(std::string_view text) {
-  const auto max_retry_after = static_cast<double>(kMaxRetryAfter);
-  return static_cast<Time>(std::ceil(std::min(parse_decimal(text).value_or(0) * 1e6, max_retry_after)));
-}
 
 std::string_view to_string_view(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
-// Returns the reported fields, or nothing if one of them cannot be parsed: it would be taken for a limit or
-// a load of zero.
-std::vector<float> parse_report(std::string_view text, const std::vector<std::string>& fields) {
-  if (fields.empty() || text.empty()) return {};
-  std::vector<float> report(fields.size(), std::numeric_limits<float>::quiet_NaN());  // not reported
-  while (!text.empty()) {
-    const std::string_view item = text.substr(0, text.find(','));
-    text.remove_prefix(std::min(text.size(), item.size() + 1));
-    const size_t equals = item.find('=');
-    if (equals == std::string_view::npos) return {};
-    const auto field = std::find(fields.begin(), fields.end(), item.substr(0, equals));
-    if (field == fields.end()) continue;
-    const auto value = parse_decimal(item.substr(equals + 1));
-    if (!value || *value > kMaxReportedValue) return {};
-    report[static_cast<size_t>(field - fields.begin())] = static_cast<float>(*value);
-  }
-  return report;
-}
-
 }  // namespace
 
 std::string batch_body_part(const AttemptRequest& call) {
--- a/relay/upstream_exchange.h
+++ b/relay/upstream_exchange.h
@@ -14,6 +14,7 @@
 #include "net/stream.h"
 #include "relay/kept_connection.h"
 #include "relay/response_body.h"
+#include "relay/response_fields.h"
 #include "relay/upstream.h"
 
 namespace turntally::relay {
@@ -119,12 +120,6 @@
   std::optional<boost::beast::http::request_serializer<RequestBody>> unsent_;
   boost::beast::flat_buffer buffer_{kMaxResponseBytes + kReadBytes};  // never full: a full one throws
   std::optional<boost::beast::http::response_parser<ResponseBody>> parser_;
-  // The fields of the response's head that are read.
-  struct ResponseFields {
-    std::string retry_after;
-    std::string load_report;
-    bool egress_full = false;
-  };
   ResponseFields fields_;
   MemoryReservation head_memory_;  // of a long head that is not complete
   Time started_at_ = 0;
