--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -16,6 +16,8 @@
 constexpr auto kReopenDelay = std::chrono::milliseconds(20);
 constexpr int kBufferBytes = 128 * 1024;  // of a hostile connection, in the system
 constexpr size_t kLargeBody = 65'000;
+constexpr int kMessagesPerRepeat = 5;
+std::atomic<int> client_count = 0;  // names sound clients
 constexpr size_t kUnsentEnd = 500;  // bytes that kStopsInBody keeps back
 
 int connect_without_waiting(uint16_t port) {
@@ -34,6 +36,8 @@
 std::string hostile_bytes(HostileClients::Kind kind) {
   using Kind = HostileClients::Kind;
   if (kind == Kind::kSilent) return "";
+  if (kind == Kind::kGarbage) return std::string(size_t{1} << 20, 'x');
+  if (kind == Kind::kChurns) return put_bytes("00000000000000ff", "c=safe,d=60000,dest=7");
   if (kind == Kind::kNeverReads) {
     std::string pings;
     const std::string ping = "*2\r\n$4\r\nPING\r\n$60000\r\n" + std::string(60'000, 'x') + "\r\n";
@@ -109,6 +113,7 @@
 }
 
 void HostileClients::send(Connection& connection) {
+  if (kind_ == Kind::kGarbage) connection.sent = 0;
   const size_t count = std::min(fragment_bytes_, bytes_.size() - connection.sent);
   if (count == 0) return;
   const ssize_t sent =
@@ -122,6 +127,7 @@
   pollfd state{connection.fd, POLLIN | POLLRDHUP, 0};
   ::poll(&state, 1, 0);
   if ((state.revents & (POLLERR | POLLHUP)) != 0) return true;
+  if (kind_ == Kind::kChurns && connection.sent == bytes_.size()) return true;
   if ((state.revents & POLLIN) != 0) note_answer(connection);
   if (kind_ == Kind::kNeverReads) return (state.revents & POLLRDHUP) != 0;
   if ((state.revents & POLLIN) == 0) return false;
@@ -131,8 +137,13 @@
 }
 
 SoundClient::SoundClient(uint16_t port, std::string facts, std::chrono::milliseconds interval,
-                         std::string body)
-    : facts_(std::move(facts)), interval_(interval), body_(std::move(body)), port_(port) {
+                         std::string body, Connections connections)
+    : facts_(std::move(facts)),
+      interval_(interval),
+      body_(std::move(body)),
+      connections_(connections),
+      name_("sound-" + std::to_string(++client_count) + "-"),
+      port_(port) {
   thread_ = std::thread([this] { run(); });
 }
 
@@ -141,20 +152,53 @@
   thread_.join();
 }
 
+std::vector<std::string> SoundClient::accepted_ids() const {
+  const std::lock_guard lock(mutex_);
+  return accepted_ids_;
+}
+
 void SoundClient::run() {
   auto next = std::chrono::steady_clock::now();
   while (!stopping_) {
     if (!paused_) submit();
+    if (!paused_ && repeats_ids_ && submitted_ % kMessagesPerRepeat == 0) repeat_accepted();
     next = std::max(next + interval_, std::chrono::steady_clock::now() - interval_);
     std::this_thread::sleep_until(next);
   }
 }
 
+// A close of a kept connection that crosses the request is answered by one more try on a new connection.
 void SoundClient::submit() {
+  const std::string id = name_ + std::to_string(++submitted_);
+  const std::string request = put_bytes(id, facts_, body_);
+  const bool was_open = socket_.open();
+  std::string answer = exchange(request);
+  if (answer.empty() && was_open && !socket_.open()) answer = exchange(request);
+  if (connections_ == Connections::kNew) socket_.close();
+  if (answer.empty()) ++unanswered_;
+  if (!answer.starts_with("+OK")) return;
+  ++accepted_;
+  const std::lock_guard lock(mutex_);
+  accepted_ids_.push_back(id);
+}
+
+// Submits a message again that was accepted some messages ago, as a client does that missed the answer.
+void SoundClient::repeat_accepted() {
+  constexpr size_t kMessagesAgo = 8;
+  std::string id;
+  {
+    const std::lock_guard lock(mutex_);
+    if (accepted_ids_.size() < kMessagesAgo) return;
+    id = accepted_ids_[accepted_ids_.size() - kMessagesAgo];
+  }
+  exchange(put_bytes(id, facts_, body_));
+  if (connections_ == Connections::kNew) socket_.close();
+}
+
+// Returns the answer; empty if none came in time. Closes the connection then, or if the relay closed it.
+std::string SoundClient::exchange(const std::string& request) {
   constexpr std::chrono::milliseconds kTimeout{400};  // "The client waits 400 ms for this answer"
-  const int number = ++submitted_;
-  const std::string request = put_bytes("sound-" + std::to_string(number), facts_, body_);
-  Socket socket(connect_without_waiting(port_));
+  if (!socket_.open()) socket_ = Socket(connect_without_waiting(port_));
   const auto end = std::chrono::steady_clock::now() + kTimeout;
   size_t sent = 0;
   std::string answer;
@@ -162,21 +206,21 @@
     const auto left =
         std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now()).count();
     const bool is_sending = sent < request.size();
-    pollfd state{socket.fd(), static_cast<short>(is_sending ? POLLOUT | POLLIN : POLLIN), 0};
-    if (!socket.open() || left <= 0 || ::poll(&state, 1, static_cast<int>(left)) <= 0) break;
+    pollfd state{socket_.fd(), static_cast<short>(is_sending ? POLLOUT | POLLIN : POLLIN), 0};
+    if (!socket_.open() || left <= 0 || ::poll(&state, 1, static_cast<int>(left)) <= 0) break;
     if ((state.revents & POLLOUT) != 0) {
       const ssize_t count =
-          ::send(socket.fd(), request.data() + sent, request.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+          ::send(socket_.fd(), request.data() + sent, request.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
       if (count > 0) sent += static_cast<size_t>(count);
     }
     if ((state.revents & (POLLIN | POLLHUP | POLLERR)) == 0) continue;
     char bytes[256];
-    const ssize_t got = ::recv(socket.fd(), bytes, sizeof bytes, MSG_DONTWAIT);
+    const ssize_t got = ::recv(socket_.fd(), bytes, sizeof bytes, MSG_DONTWAIT);
     if (got == 0 || (got < 0 && errno != EAGAIN)) break;
     if (got > 0) answer.append(bytes, static_cast<size_t>(got));
   }
-  if (answer.empty()) ++unanswered_;
-  if (answer.starts_with("+OK")) ++accepted_;
+  if (answer.empty()) socket_.close();
+  return answer;
 }
 
 BusyEndpoint::BusyEndpoint(std::chrono::milliseconds delay, std::string answer)
--- a/tests/support/load.h
+++ b/tests/support/load.h
@@ -25,6 +25,9 @@
     kWritesSlowly,  // the same with 20,000 bytes each 0.3 s
     kNeverReads,    // sends PING with 60,000 bytes forty times and reads nothing
     kSilent,        // sends nothing
+    kGarbage,       // sends what is no command, without an end
+    kChurns,        // connects, sends a whole command and closes at once
+    kCount
   };
 
   HostileClients(uint16_t port, Kind kind, int count);
@@ -61,29 +64,40 @@
   std::thread thread_;
 };
 
-// Submits a message on a new connection at each interval, and waits 400 ms for its answer, as the protocol
-// says.
+// Submits a message at each interval, and waits 400 ms for its answer, as the protocol says.
 class SoundClient {
  public:
-  SoundClient(uint16_t port, std::string facts, std::chrono::milliseconds interval,
-              std::string body = "body");
+  enum class Connections { kNew, kKept };  // one for each message, or one for as long as it stays open
+
+  SoundClient(uint16_t port, std::string facts, std::chrono::milliseconds interval, std::string body = "body",
+              Connections connections = Connections::kNew);
   ~SoundClient();
   void move_to(uint16_t port) { port_ = port; }
   void pause(bool paused) { paused_ = paused; }  // while no relay is up
+  void repeat_ids() { repeats_ids_ = true; }     // submits some accepted messages once more
   int submitted() const { return submitted_; }
   int unanswered() const { return unanswered_; }
   int accepted() const { return accepted_; }
+  std::vector<std::string> accepted_ids() const;
 
  private:
   void run();
   void submit();
+  void repeat_accepted();
+  std::string exchange(const std::string& request);
 
   const std::string facts_;
   const std::chrono::milliseconds interval_;
   const std::string body_;
+  const Connections connections_;
+  const std::string name_;  // begins the ids of its messages
+  Socket socket_;
+  mutable std::mutex mutex_;
+  std::vector<std::string> accepted_ids_;
   std::atomic<uint16_t> port_;
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> paused_ = false;
+  std::atomic<bool> repeats_ids_ = false;
   std::atomic<int> submitted_ = 0;
   std::atomic<int> unanswered_ = 0;
   std::atomic<int> accepted_ = 0;
