--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -19,7 +19,7 @@
 constexpr double kMaxFileShare = 0.42;  // of the disk limit; old and new file together stay well below it
 constexpr double kAcceptShare = 0.75;   // of the maximum file size; the rest is for later records
 // Of the maximum file size: for messages that have ended. Out of the part for later records.
-constexpr double kFinishedShare = 0.05;
+constexpr double kFinishedShare = 0.1;
 constexpr size_t kReservedBytesPerMessage = 512;  // for the records of its attempts and its end
 constexpr size_t kHeaderBytes = 8;                // length and checksum
 constexpr std::chrono::seconds kOpenTimeout{5};
