--- a/relay/clients.h
+++ b/relay/clients.h
@@ -18,7 +18,7 @@
 
 namespace turntally::relay {
 
-// What the connections of clients share with the rest of the relay.
+// Holds the parts of the relay that all connections of clients share.
 struct ClientResources {
   std::shared_ptr<ConnectionLog> log = std::make_shared<ConnectionLog>();
   // For commands that have not been submitted, and answers that have not been written.
--- a/relay/connection_log.h
+++ b/relay/connection_log.h
@@ -36,7 +36,7 @@
 };
 const char* name_of(RefusalReason reason);
 
-// What is known of a connection at its end.
+// Describes a connection at its end, for its log line.
 struct ClosedConnection {
   CloseReason reason = CloseReason::kClosedByClient;
   std::string peer;
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -475,7 +475,7 @@
   for (const auto& [name, value] : facts_) {
     if (!add(framed(RecordWriter(kFact, name).text(value).payload()))) return {};
   }
-  // What is open needs the room more. Its records come behind, as an id may have been taken on anew.
+  // Open messages need the room more. Their records come behind, as an id may have been taken on anew.
   if (live_bytes_ + finished_bytes_ <= max_file_bytes_) {
     for (const std::string& record : finished_records_) {
       if (!add(record)) return {};
--- a/relay/memory_limits.h
+++ b/relay/memory_limits.h
@@ -8,8 +8,8 @@
 
 namespace turntally::relay {
 
-// What each use may hold at once, in bytes. Two processes of an upgrade share the limit, so one plans with
-// half.
+// Holds the most bytes that each use may have at once. Two processes of an upgrade share the limit, so one
+// plans with half.
 struct MemoryLimits {
   size_t commands = 0;      // of clients that have not been submitted, and answers that have not been written
   size_t messages = 0;      // taken on and not ended, with their journal records and calls
--- a/relay/process_end.h
+++ b/relay/process_end.h
@@ -1,4 +1,4 @@
-// One log line for each way in which the process can end, with its reason.
+// Logs why the process ends, also where a fault of its own ends it.
 #pragma once
 
 namespace turntally::relay {
