--- a/review/peers-3/peers.py
+++ b/review/peers-3/peers.py
@@ -74,6 +74,7 @@
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
             signal.signal(number, lambda *_: self.could_not_run('ended from outside or out of time'))
         signal.alarm(MAX_RUN_S)
+        sys.excepthook = lambda kind, error, _: self.could_not_run('%s: %s' % (kind.__name__, error))
 
     def close(self):
         for process in self.processes:
