--- a/review/11/case.py
+++ b/review/11/case.py
@@ -14,7 +14,7 @@
 CROWD = 40        # connections of bad clients, of 256 descriptors
 ROUNDS = 5
 
-play = Play(HERE)
+play = Play(os.path.join(HERE, 'record.txt'))
 record = play.record
 endpoint = Endpoint(play, 's-a')
 known = [member('s-a', endpoint, 7)]
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -17,7 +17,7 @@
 SECONDS = 6         # without the restart
 ROUNDS = 5          # restarts at most; the moment of the end differs
 
-play = Play(HERE)
+play = Play(os.path.join(HERE, 'record.txt'))
 record = play.record
 endpoint = Endpoint(play, 's-a', lambda call: None)  # hangs through the whole of the shutdown
 known = [member('s-a', endpoint, 7, size=200.0)]
--- a/review/peers-3/peers.py
+++ b/review/peers-3/peers.py
@@ -34,12 +34,12 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to record.txt, with seconds since the start."""
+    """Writes what was sent, answered and run to the script's record.txt, with seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.start = now()
         self.lock = threading.Lock()
-        self.file = open(os.path.join(folder, 'record.txt'), 'w')
+        self.file = open(path, 'w')
 
     def __call__(self, *words):
         with self.lock:
@@ -64,8 +64,8 @@
 class Play:
     """Owns the temporary folder and all processes of a script, and ends them with it."""
 
-    def __init__(self, case_folder):
-        self.record = Record(case_folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix='review-3-')
         self.processes = []
         self.trouble = os.environ.get('TROUBLE', '1') != '0'
