relay: fix a crash: ended connections are removed in one place, by a handler of its own

Cause: Session::close() erased the session from Clients::sessions_ at once and called accept(), which makes room and closes further sessions.

Change: an ended session frees its place and is marked; a posted handler, Clients::remove_ended, alone removes sessions and accepts for their places. No loop over sessions can meet a removal any more. The methods of a session that has ended do nothing.

--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -84,7 +84,7 @@
   boost::system::error_code ignored;
   stream_.socket().close(ignored);
   state_ = State::kClosed;
-  std::exchange(owner_, nullptr)->remove(position);
+  std::exchange(owner_, nullptr)->on_session_ended();
 }
 
 void Clients::Session::restore(const ClientFrame& state) {
@@ -148,6 +148,7 @@
 }
 
 void Clients::Session::linger(CloseReason reason) {
+  if (!is_open()) return;
   note_end(reason);
   boost::system::error_code ignored;
   stream_.socket().cancel(ignored);
@@ -160,6 +161,7 @@
 }
 
 void Clients::Session::close(CloseReason reason) {
+  if (!is_open()) return;
   note_end(reason);
   boost::system::error_code ignored;
   if (owner_ != nullptr) {
@@ -170,7 +172,7 @@
   stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
   stream_.socket().close(ignored);
   state_ = State::kClosed;
-  if (owner_ != nullptr) std::exchange(owner_, nullptr)->remove(position);
+  if (owner_ != nullptr) std::exchange(owner_, nullptr)->on_session_ended();
 }
 
 void Clients::Session::on_readable(const boost::system::error_code& error) {
@@ -220,6 +222,7 @@
 }
 
 void Clients::Session::end_stalled() {
+  if (end_reason_) return;
   if (state_ == State::kWriting) return close(CloseReason::kStalledForPlace);
   if (paused_until_ != 0) return linger(CloseReason::kStalledForPlace);  // between requests
   parser_.clear();
@@ -234,6 +237,7 @@
 
 void Clients::Session::give_up_memory() {
   if (state_ == State::kWriting) return close(CloseReason::kMemory);
+  if (state_ != State::kReading) return;
   parser_.drop_command();
   memory_.release();
 }
--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -1,7 +1,6 @@
 // The connection of one client.
 #pragma once
 
-#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,8 +14,9 @@
 namespace turntally::relay {
 
 // Handles one request at a time: reads it, answers it, and only then looks at the next one. Owns its
-// connection. Times are microseconds of the steady clock. Invariant: `position` is the session's position in
-// Clients' list; after close(), hand_over() or orphan() Clients no longer refers to the session.
+// connection. Times are microseconds of the steady clock. A session that has ended, by close() or
+// hand_over(), no longer refers to Clients, and stays in its list until Clients::remove_ended(). Methods do
+// nothing then.
 class Clients::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Clients& owner, tcp::socket socket)
@@ -26,8 +26,6 @@
         memory_(owner.resources_.commands),
         since_(steady_now()) {}
 
-  std::list<std::shared_ptr<Session>>::iterator position;
-
   void proceed();
   // Reads on from a connection that was paused, if its time has come.
   void resume(Time now);
@@ -37,11 +35,13 @@
   // Restores the state that the connection had in the predecessor process. The steady clock is the
   // machine's, so the times remain valid.
   void restore(const ClientFrame& state);
+  bool is_open() const { return state_ != State::kClosed; }
   bool is_reading() const { return state_ == State::kReading; }
   bool is_lingering() const { return state_ == State::kLingering; }
   // Returns whether the session was ended between requests and is closing, which takes little time.
   bool is_closing() const {
-    return (is_lingering() && !closing_after_answer_) || end_reason_ == CloseReason::kStalledForPlace;
+    return is_open() &&
+           ((is_lingering() && !closing_after_answer_) || end_reason_ == CloseReason::kStalledForPlace);
   }
   bool owes_answer() const { return state_ == State::kServing || state_ == State::kWriting; }
 
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -1,6 +1,7 @@
 #include "relay/clients.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <utility>
 #include <vector>
 
@@ -85,14 +86,13 @@
   boost::system::error_code ignored;
   socket.set_option(boost::asio::socket_base::send_buffer_size(kSendBufferBytes), ignored);
   socket.set_option(boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
-  auto session = std::make_shared<Session>(*this, std::move(socket));
-  session->position = sessions_.insert(sessions_.end(), session);
-  return session;
+  ++open_sessions_;
+  return sessions_.emplace_back(std::make_shared<Session>(*this, std::move(socket)));
 }
 
 bool Clients::has_room_for_inherited(bool has_descriptor) {
   const bool had_reservation = places_reserved_until_ != 0;
-  const size_t max_sessions = has_descriptor ? max_sessions_ : std::min(max_sessions_, sessions_.size());
+  const size_t max_sessions = has_descriptor ? max_sessions_ : std::min(max_sessions_, open_sessions_);
   const bool is_place_free = finishing_ || make_room(max_sessions);
   const bool has_room = has_descriptor && is_place_free;
   places_reserved_until_ = has_room ? 0 : steady_now() + kPlaceReservationTime;
@@ -115,8 +115,7 @@
 void Clients::hand_over(HandOverHandler hand_over) {
   hand_over_ = std::move(hand_over);
   finish();
-  for (auto next = sessions_.begin(); next != sessions_.end();) {
-    const auto session = *next++;
+  for (const auto& session : sessions_) {
     if (session->is_reading()) session->hand_over();
   }
 }
@@ -132,16 +131,16 @@
 // connections are closed before their places are needed.
 bool Clients::make_room(size_t max_sessions) {
   const size_t spare_places = max_sessions / kPlacesPerSpare + 1;
-  if (sessions_.size() + spare_places <= max_sessions) return true;
+  if (open_sessions_ + spare_places <= max_sessions) return true;
   const Time now = steady_now();
-  const size_t wanted = sessions_.size() + spare_places - max_sessions;
+  const size_t wanted = open_sessions_ + spare_places - max_sessions;
   auto closing = static_cast<size_t>(std::count_if(
       sessions_.begin(), sessions_.end(), [](const auto& session) { return session->is_closing(); }));
   close_idle(now, false, wanted, closing);
-  if (closing == 0 && sessions_.size() >= max_sessions) close_idle(now, true, wanted, closing);
-  if (closing < wanted && sessions_.size() >= max_sessions) close_stalled(now, wanted, closing);
+  if (closing == 0 && open_sessions_ >= max_sessions) close_idle(now, true, wanted, closing);
+  if (closing < wanted && open_sessions_ >= max_sessions) close_stalled(now, wanted, closing);
   close_lingering(now, max_sessions);
-  if (sessions_.size() < max_sessions) return true;
+  if (open_sessions_ < max_sessions) return true;
   if (closing > 0)
     accept_after(std::chrono::microseconds(kMinLinger));  // otherwise the next sweep tries again
   return false;
@@ -179,16 +178,13 @@
   }
 }
 
-// Closes lingering connections while there is no free place. Session::close() calls accept(), which is left
-// to the caller here.
+// Closes lingering connections while there is no free place.
 void Clients::close_lingering(Time now, size_t max_sessions) {
-  const bool accepting = std::exchange(accepting_, true);
-  for (auto next = sessions_.begin(); next != sessions_.end() && sessions_.size() >= max_sessions;) {
-    const auto session = *next++;
+  for (const auto& session : sessions_) {
+    if (open_sessions_ < max_sessions) return;
     if (session->is_lingering() && session->closable_for(now, false) >= 0 && session->is_input_empty())
       session->close(CloseReason::kIdle);
   }
-  accepting_ = accepting;
 }
 
 // Returns whether a command of one session may take so many bytes more. Where they have run out, other
@@ -212,8 +208,7 @@
 
 void Clients::sweep() {
   const Time now = steady_now();
-  for (auto next = sessions_.begin(); next != sessions_.end();) {
-    const auto session = *next++;
+  for (const auto& session : sessions_) {
     session->resume(now);
     session->enforce_timeouts(now);
     if (finishing_ || (session->has_sent_command() && closes_between_requests())) session->finish();
@@ -226,8 +221,15 @@
   });
 }
 
-void Clients::remove(std::list<std::shared_ptr<Session>>::iterator position) {
-  sessions_.erase(position);
+void Clients::on_session_ended() {
+  --open_sessions_;
+  if (std::exchange(removal_posted_, true)) return;
+  boost::asio::post(io_, [this] { remove_ended(); });
+}
+
+void Clients::remove_ended() {
+  removal_posted_ = false;
+  sessions_.remove_if([](const auto& session) { return !session->is_open(); });
   accept();
 }
 
@@ -243,7 +245,7 @@
 // descriptors may run short, or all places may be taken, so it is retried.
 void Clients::accept_queued() {
   boost::system::error_code error;
-  for (int lost_connections = 0; !error && sessions_.size() < max_sessions_;) {
+  for (int lost_connections = 0; !error && open_sessions_ < max_sessions_;) {
     tcp::socket socket(io_);
     acceptor_.accept(socket, error);
     if (net::is_lost_connection(error) && ++lost_connections < kMaxLostConnections) {
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -48,7 +48,7 @@
   // every connection once it is between requests.
   void finish();
   // Returns whether finish() is complete: every client has closed its connection or has had time to.
-  bool has_ended() const { return finishing_ && sessions_.empty() && !acceptor_.is_open(); }
+  bool has_ended() const { return finishing_ && open_sessions_ == 0 && !acceptor_.is_open(); }
 
   // Stops reading from clients, right before the process ends. Requests that were read are still answered,
   // see has_answered_all().
@@ -64,7 +64,7 @@
   // Accepts no new connection and sends each open one to another process once its request has been answered.
   void hand_over(HandOverHandler hand_over);
   int listener() { return acceptor_.is_open() ? acceptor_.native_handle() : -1; }
-  size_t session_count() const { return sessions_.size(); }
+  size_t session_count() const { return open_sessions_; }
   bool has_answered_all() const;  // no connection awaits the answer to a request that was read
 
   // Returns whether there is a place, and according to `has_descriptor` a descriptor, for one more
@@ -90,7 +90,13 @@
   void close_lingering(Time now, size_t max_sessions);
   void sweep();
   bool make_memory_room(const Session& for_session, size_t bytes);
-  void remove(std::list<std::shared_ptr<Session>>::iterator position);
+  // Called by a session at its end, at any moment, also while its caller goes through sessions_: frees its
+  // place and schedules remove_ended().
+  void on_session_ended();
+  // Removes the sessions that have ended and accepts connections for their places. Runs as a handler of the
+  // event loop: nothing else removes a session, so neither an iterator nor a pointer to one becomes invalid
+  // within any other handler.
+  void remove_ended();
 
   boost::asio::io_context& io_;
   tcp protocol_;
@@ -107,7 +113,9 @@
   Time draining_since_ = 0;                          // 0: not draining
   HandOverHandler hand_over_;                        // if set, connections go to another process
   std::array<char, size_t{64} * 1024> read_buffer_;  // last bytes read, shared by all connections
-  std::list<std::shared_ptr<Session>> sessions_;
+  std::list<std::shared_ptr<Session>> sessions_;  // open ones, and until remove_ended() those that have ended
+  size_t open_sessions_ = 0;
+  bool removal_posted_ = false;
 };
 
 }  // namespace turntally::relay
