relay: fix unanswered commands: a pause holds back reading, never an answer

Cause: after a command was refused for lack of memory its connection was not read for 0.2 s, and commands that had come with the same read waited for that in the parser. The session then looked as one between commands: has_answered_all() let the process end over it, end_stalled() closed it at a full house, and two refusals in a row kept a sound command longer than the 400 ms that its client waits.

Change: a paused connection answers what it has read and then reads no further. Whole commands stand in a parser only behind one that is being served or answered, so "owes an answer" is one state. end_stalled() refuses part of a command before it closes. What stays unanswered at the last moment is logged with its reason (ended_unanswered).

--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -47,11 +47,6 @@
 
 void Clients::Session::proceed() {
   if (owner_ != nullptr && owner_->hand_over_) return hand_over();
-  if (paused_until_ != 0) {
-    state_ = State::kReading;
-    if (!parser_.empty()) command_since_ = steady_now();
-    return;
-  }
   std::optional<RespCommand> command;
   try {
     command = parser_.next_command();
@@ -71,6 +66,7 @@
     command_since_ = steady_now();
   }
   state_ = State::kReading;
+  if (paused_until_ != 0) return;  // resume() reads on
   stream_.socket().async_wait(tcp::socket::wait_read,
                               [self = shared_from_this()](auto error) { self->on_readable(error); });
   if (owner_->finishing_ || (has_sent_command_ && owner_->closes_between_requests())) finish();
@@ -98,6 +94,7 @@
 }
 
 void Clients::Session::finish() {
+  if (paused_until_ != 0) return;  // no read is pending; resume() tries again
   boost::system::error_code ignored;
   if (!has_sent_command_ && steady_now() - since_ < kMinInitialIdle) return;
   if (state_ == State::kReading && parser_.empty()) stream_.socket().cancel(ignored);
@@ -224,7 +221,7 @@
 void Clients::Session::end_stalled() {
   if (end_reason_) return;
   if (state_ == State::kWriting) return close(CloseReason::kStalledForPlace);
-  if (paused_until_ != 0) return linger(CloseReason::kStalledForPlace);  // between requests
+  if (parser_.empty()) return linger(CloseReason::kStalledForPlace);  // between requests, and paused
   parser_.clear();
   memory_.release();
   reject(kNoRoom, CloseReason::kStalledForPlace);
@@ -243,7 +240,7 @@
 }
 
 // Reads nothing more for a moment: a client that goes on with commands for which there is no room would take
-// all of the processor's time.
+// all of the processor's time. Commands that were read with this one are answered without a pause.
 void Clients::Session::refuse_dropped() {
   if (owner_ != nullptr) owner_->resources_.log->note_refusal(RefusalReason::kNoMemory, "");
   memory_.release();
--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -43,7 +43,11 @@
     return is_open() &&
            ((is_lingering() && !closing_after_answer_) || end_reason_ == CloseReason::kStalledForPlace);
   }
+  // Returns whether a command that was read has no answer yet: one that is being served or answered, and
+  // those that stand whole in the parser, which they do only behind such a one.
   bool owes_answer() const { return state_ == State::kServing || state_ == State::kWriting; }
+  // Returns whether its client has not read an answer, or not all of it.
+  bool awaits_client() const { return state_ == State::kWriting; }
 
   // Returns whether the client has sent a command. A client that has not may have just connected; one that
   // has is between requests once it has been answered.
@@ -110,7 +114,7 @@
   State state_ = State::kReading;
   Time since_;  // when the client connected, was last answered, or an answer or the final wait began
   Time received_at_ = 0;    // when the newest byte arrived
-  Time paused_until_ = 0;   // nothing is read before; 0: not paused
+  Time paused_until_ = 0;   // nothing is read before, but what was read is answered; 0: not paused
   Time command_since_ = 0;  // when the first byte of an unfinished command was read; 0: none has begun
   size_t discarded_bytes_ = 0;
   uint64_t bytes_read_ = 0;
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "net/log.h"
 #include "net/stream.h"
 #include "relay/client_session.h"
 #include "relay/errors.h"
@@ -125,6 +126,15 @@
                       [](const auto& session) { return session->owes_answer(); });
 }
 
+void Clients::log_unanswered() const {
+  const auto unanswered =
+      std::count_if(sessions_.begin(), sessions_.end(), [](const auto& each) { return each->owes_answer(); });
+  const auto unread = std::count_if(sessions_.begin(), sessions_.end(),
+                                    [](const auto& each) { return each->awaits_client(); });
+  if (unanswered == 0) return;
+  net::log::warn("ended_unanswered", "answer_not_read", unread, "not_decided", unanswered - unread);
+}
+
 // Closes the connections that have been idle for longest when the limit is reached. Clients keep connections
 // open for good, and some connect without sending anything; they would shut out clients that have something
 // to submit. A request may cross the close of an idle connection, so closing takes time, and some
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -66,6 +66,8 @@
   int listener() { return acceptor_.is_open() ? acceptor_.native_handle() : -1; }
   size_t session_count() const { return open_sessions_; }
   bool has_answered_all() const;  // no connection awaits the answer to a request that was read
+  // Logs how many connections still await an answer, if any, as the process ends over them.
+  void log_unanswered() const;
 
   // Returns whether there is a place, and according to `has_descriptor` a descriptor, for one more
   // connection of the predecessor process. Otherwise makes room and accepts no new connection for a moment.
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -251,6 +251,15 @@
   if (clients_) clients_->finish();
 }
 
+// Stops reading from clients. Returns whether each request that was read has its answer, or no time is left.
+bool Relay::finish_answers(Time stop_age) {
+  if (clients_) clients_->stop_reading();
+  if (!step_posted_ && (!clients_ || clients_->has_answered_all())) return true;
+  if (stop_age < kExitAfterStop) return false;
+  if (clients_) clients_->log_unanswered();
+  return true;
+}
+
 void Relay::poll_shutdown() {
   if (handed_over_ && !handover_.has_successor()) cancel_all_calls();
   if (is_handover_complete()) return io_.stop();
@@ -258,11 +267,7 @@
   if (age >= kServeAfterStop && !handed_over_) finish_clients();
   if (clients_finished_ && is_idle()) return io_.stop();
   const bool calls_ended = age >= kCallsEndAfterStop;
-  if (calls_ended) {  // a request that has been read still gets its reply
-    if (clients_) clients_->stop_reading();
-    const bool answered = !step_posted_ && (!clients_ || clients_->has_answered_all());
-    if (answered || age >= kExitAfterStop) return io_.stop();
-  }
+  if (calls_ended && finish_answers(age)) return io_.stop();
   stop_timer_.expires_after(
       std::chrono::microseconds(calls_ended ? kFinalStopPollInterval : kStopPollInterval));
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -105,6 +105,7 @@
   std::shared_ptr<policy::Settings> policy_settings() const;
   Time call_end_deadline() const;
   void finish_clients();
+  bool finish_answers(Time stop_age);
   void poll_shutdown();
   bool is_watching_for_successor() const;
   bool is_handover_complete() const;
