--- a/tests/relay/limits_test.cpp
+++ b/tests/relay/limits_test.cpp
@@ -28,7 +28,8 @@
 // places for connections, so that other clients waited.
 class HostileCrowd : public ::testing::Test {
  protected:
-  void expect_service_beside(Kind kind, int connections, int descriptors) {
+  void expect_service_beside(Kind kind, int connections, int descriptors,
+                             milliseconds arrival_interval = milliseconds(0)) {
     Discovery discovery;
     BusyEndpoint endpoint;
     nlohmann::json config = small_config(discovery.address(), endpoint.address());
@@ -37,7 +38,7 @@
     program.use_release_build();
     program.start();
     {
-      HostileClients crowd(program.port(), kind, connections);
+      HostileClients crowd(program.port(), kind, connections, arrival_interval);
       std::this_thread::sleep_for(milliseconds(500));
       SoundClient client(program.port(), kKeyed, milliseconds(55));
       std::this_thread::sleep_for(seconds(6));
@@ -46,6 +47,7 @@
       EXPECT_LE(client.unanswered(), is_within_share ? 0 : client.submitted() / 100) << client.submitted();
       EXPECT_LE(crowd.longest_unanswered(), seconds(3));
     }
+    EXPECT_GT(program.resident_bytes(), 0U) << "it has ended";
     EXPECT_LE(program.peak_bytes(), kMemoryBytes);
     RecordProperty("peak_kb", static_cast<int>(program.peak_bytes() / 1000));
   }
@@ -76,6 +78,12 @@
   expect_service_beside(Kind::kSilent, 512, 1024);
 }
 
+// Memory ran out within a sweep, as clients that read nothing came one after another, and the relay ended
+// with SIGSEGV.
+TEST_F(HostileCrowd, KeepsRunningWhenAThirdArriveOverTimeAndReadNothing) {
+  expect_service_beside(Kind::kNeverReads, 341, 1024, milliseconds(5));
+}
+
 class Limits : public ::testing::Test {
  protected:
   // Returns a relay that may hold many large messages: on its disk, by their number, and in calls.
--- a/tests/relay/soak_test.cpp
+++ b/tests/relay/soak_test.cpp
@@ -32,7 +32,8 @@
   int connections;  // of each kind
   milliseconds answer_delay;
   std::string answer;
-  std::vector<int> events;  // by Event
+  std::vector<int> events;        // by Event
+  milliseconds arrival_interval;  // of hostile connections
 
   explicit Draw(unsigned seed) : random_(seed) {
     const int memories[] = {32, 32, 48};
@@ -51,6 +52,7 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + std::string(48 * 1024, 'x');
     answer = below(3) == 0 ? cut_answer : short_answer;
     for (int i = 0; i < 3; ++i) events.push_back(below(5));
+    arrival_interval = milliseconds(below(2) * 5);
   }
   bool is_crowded() const { return 3 * 2 * connections > descriptors; }
   int below(int end) { return static_cast<int>(random_() % static_cast<unsigned>(end)); }
@@ -80,8 +82,10 @@
 
   void play() {
     const uint16_t port = program_->port();
-    crowds_.push_back(std::make_unique<HostileClients>(port, draw_.kind, draw_.connections));
-    crowds_.push_back(std::make_unique<HostileClients>(port, draw_.other_kind, draw_.connections));
+    crowds_.push_back(
+        std::make_unique<HostileClients>(port, draw_.kind, draw_.connections, draw_.arrival_interval));
+    crowds_.push_back(
+        std::make_unique<HostileClients>(port, draw_.other_kind, draw_.connections, draw_.arrival_interval));
     const auto facts = [](const std::string& name) {
       return "c=" + name + ",k=5c0f6e1a2b3d4c59,d=" + std::to_string(kTimeToLiveMs) + ",dest=7";
     };
@@ -130,6 +134,7 @@
                       " hostile of kinds " + std::to_string(static_cast<int>(draw_.kind)) + " and " +
                       std::to_string(static_cast<int>(draw_.other_kind)) + ", events";
     for (const int event : draw_.events) out += " " + std::to_string(event);
+    out += ", " + std::to_string(draw_.arrival_interval.count()) + " ms apart";
     return out + ", peak " + std::to_string(peak_ / 1000) + " kB";
   }
 
--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -51,7 +51,8 @@
 
 }  // namespace
 
-HostileClients::HostileClients(uint16_t port, Kind kind, int count)
+HostileClients::HostileClients(uint16_t port, Kind kind, int count,
+                               std::chrono::milliseconds arrival_interval)
     : kind_(kind), bytes_(hostile_bytes(kind)), fragment_bytes_(bytes_.size()), pause_(0), port_(port) {
   if (kind == Kind::kTrickles) {
     fragment_bytes_ = 3000;
@@ -60,7 +61,7 @@
     fragment_bytes_ = 20'000;
     pause_ = std::chrono::milliseconds(300);
   }
-  thread_ = std::thread([this, count] { run(count); });
+  thread_ = std::thread([this, count, arrival_interval] { run(count, arrival_interval); });
 }
 
 HostileClients::~HostileClients() {
@@ -68,8 +69,11 @@
   thread_.join();
 }
 
-void HostileClients::run(int count) {
+void HostileClients::run(int count, std::chrono::milliseconds arrival_interval) {
   std::vector<Connection> connections(static_cast<size_t>(count));
+  const auto begin = Clock::now();
+  for (int i = 0; i < count; ++i)
+    connections[static_cast<size_t>(i)].next_send_at = begin + i * arrival_interval;
   while (!stopping_) {
     const auto now = Clock::now();
     for (Connection& connection : connections) {
--- a/tests/support/load.h
+++ b/tests/support/load.h
@@ -30,7 +30,9 @@
     kCount
   };
 
-  HostileClients(uint16_t port, Kind kind, int count);
+  // The connections are opened one after another, so long apart.
+  HostileClients(uint16_t port, Kind kind, int count,
+                 std::chrono::milliseconds arrival_interval = std::chrono::milliseconds(0));
   ~HostileClients();
   void move_to(uint16_t port) { port_ = port; }  // for connections from now on
   int closed() const { return closed_; }         // connections that the relay has closed
@@ -47,7 +49,7 @@
     bool answered = false;
   };
 
-  void run(int count);
+  void run(int count, std::chrono::milliseconds arrival_interval);
   void open(Connection& connection);
   void note_answer(Connection& connection);
   void send(Connection& connection);
