relay: a module of its own for what the system knows of a client's connection

client_session.cpp mixed system calls on the socket (bytes that wait, their age, whether the client has left, discarding) with the states of a session, and kMinLinger stood in two files. The calls are free functions in relay/client_socket.h now, and the constant stands once. No decision changes: the 22 tests of OwedAnswers, ClientSessions, Shutdown and DepartedClient, and of clients that arrive over time, pass with sanitizers after it.

--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -1,14 +1,11 @@
 #include "relay/client_session.h"
 
-#include <netinet/tcp.h>
-#include <poll.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <cctype>
 #include <stdexcept>
 
+#include "relay/client_socket.h"
 #include "relay/put_command.h"
 
 namespace turntally::relay {
@@ -25,8 +22,7 @@
 constexpr Time kMaxLingerAfterError = 5 * kSecond;  // for a client that is still sending to read the error
 constexpr Time kMaxLinger = 3 * kSecond / 2;  // after a close between requests, for the client to close too
 constexpr size_t kMaxDiscardedBytes = size_t{96} * 1024 * 1024;  // while waiting for the client to close
-constexpr size_t kDiscardBytes = size_t{256} * 1024;
-constexpr Time kMinIdle = 2 * kSecond;                // between requests
+constexpr Time kMinIdle = 2 * kSecond;                           // between requests
 constexpr Time kMinIdleUnderPressure = kSecond / 20;  // the same if every other connection was used just now
 constexpr Time kMinInitialIdle = 3 * kSecond / 10;
 // For a command or an answer that makes no progress, if its place is needed.
@@ -35,8 +31,6 @@
 const std::string kClientGone = "-BUSY";  // nothing was taken on
 constexpr Time kPauseAfterDrop = kSecond / 5;
 const std::string kNoRoom = "-BUSY 500";  // others need the memory or the place; they end within that time
-// After a close between requests, for bytes that the client has already sent.
-constexpr Time kMinLinger = kSecond / 20;
 
 std::string upper(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::toupper(c); });
@@ -113,10 +107,10 @@
       command_age >= kMaxCommandTime ||
       (!has_sent_command_ && command_age >= kMinFirstCommandTime && now - since_ >= kMaxInitialIdle);
   // Received bytes are handled first: this process may have been suspended.
-  if (is_late && is_input_empty()) {
+  if (is_late && has_no_input()) {
     reject("-ERR the command took too long", CloseReason::kCommandTooSlow);
   } else if (state_ == State::kReading && !has_sent_command_ && command_since_ == 0 &&
-             now - since_ >= kMaxInitialIdle && is_input_empty()) {
+             now - since_ >= kMaxInitialIdle && has_no_input()) {
     linger(CloseReason::kSilent);
   } else if (state_ == State::kWriting && now - since_ >= kMaxWriteTime) {
     close(CloseReason::kAnswerUnread);
@@ -135,11 +129,6 @@
   return age - (!has_sent_command_ ? kMinInitialIdle : under_pressure ? kMinIdleUnderPressure : kMinIdle);
 }
 
-bool Clients::Session::is_input_empty() const {
-  boost::system::error_code error;
-  return stream_.socket().available(error) == 0 || error;
-}
-
 void Clients::Session::note_end(CloseReason reason) {
   if (!end_reason_) end_reason_ = reason;
 }
@@ -175,35 +164,20 @@
 void Clients::Session::on_readable(const boost::system::error_code& error) {
   if (owner_ == nullptr || state_ != State::kReading || !owner_->reading_) return;
   if (error && error != boost::asio::error::operation_aborted) return close(CloseReason::kClosedByClient);
-  if (error && is_input_empty()) return linger(CloseReason::kDraining);
+  if (error && has_no_input()) return linger(CloseReason::kDraining);
   boost::system::error_code read_error;
   const size_t count =
       stream_.read_some(boost::asio::buffer(owner_->read_buffer_, parser_.wanted_bytes()), read_error);
   if (read_error == boost::asio::error::would_block) return proceed();
   if (count == 0) return close(CloseReason::kClosedByClient);
   bytes_read_ += count;
-  const Time time_waiting = time_in_socket();
-  received_at_ = steady_now() - time_waiting;
+  // A message's time runs from its newest byte, also while this process was busy or the connection waited to
+  // be accepted.
+  received_at_ = steady_now() - time_since_newest_byte(stream_.socket());
   parser_.feed({owner_->read_buffer_.data(), count});
   proceed();
 }
 
-Time Clients::Session::time_in_socket() {
-  tcp_info info{};
-  socklen_t size = sizeof info;
-  if (::getsockopt(stream_.socket().native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
-  return Time{1000} * info.tcpi_last_data_recv;
-}
-
-bool Clients::Session::has_client_left() {
-  pollfd state{stream_.socket().native_handle(), POLLRDHUP, 0};
-  int ready = 0;
-  do {
-    ready = ::poll(&state, 1, 0);
-  } while (ready < 0 && errno == EINTR);
-  return ready > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
-
 bool Clients::Session::reserve_memory(size_t bytes) {
   if (owner_ == nullptr || !owner_->make_memory_room(*this, bytes) || !memory_.try_add(bytes)) return false;
   memory_held_since_ = steady_now();
@@ -214,7 +188,7 @@
   if (end_reason_) return -1;
   if (state_ == State::kWriting) return now - since_ - kMinStall;
   if (state_ == State::kReading && paused_until_ != 0) return now - since_ - kMinIdleUnderPressure;
-  if (state_ != State::kReading || command_since_ == 0 || !is_input_empty()) return -1;
+  if (state_ != State::kReading || command_since_ == 0 || !has_no_input()) return -1;
   return now - command_since_ - kMinStall;
 }
 
@@ -273,7 +247,8 @@
   try {
     SubmittedMessage message = parse_put(std::move(words));
     memory_.release();  // the message has a reservation of its own
-    if (has_client_left()) {
+    // Its client has given up its requests, and has submitted them elsewhere under new ids.
+    if (has_peer_left(stream_.socket())) {
       owner_->resources_.log->note_refusal(RefusalReason::kClientGone, message.id);
       return answer(kClientGone);
     }
@@ -313,11 +288,9 @@
     if (self->owner_ == nullptr || self->state_ != State::kLingering) return;
     if (error == boost::asio::error::operation_aborted) return self->continue_linger();
     if (error) return self->close(CloseReason::kClosedByClient);
-    const ssize_t received =
-        ::recv(self->stream_.socket().native_handle(), nullptr, kDiscardBytes, MSG_TRUNC | MSG_DONTWAIT);
-    if (received > 0) self->discarded_bytes_ += static_cast<size_t>(received);
-    const bool empty = received < 0 && (errno == EAGAIN || errno == EINTR);
-    if ((received <= 0 && !empty) || self->discarded_bytes_ > kMaxDiscardedBytes)
+    const std::optional<size_t> discarded = discard_input(self->stream_.socket());
+    self->discarded_bytes_ += discarded.value_or(0);
+    if (!discarded || self->discarded_bytes_ > kMaxDiscardedBytes)
       return self->close(CloseReason::kClosedByClient);
     self->continue_linger();
   });
--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -8,11 +8,15 @@
 
 #include "net/address.h"
 #include "net/stream.h"
+#include "relay/client_socket.h"
 #include "relay/clients.h"
 #include "relay/resp.h"
 
 namespace turntally::relay {
 
+// After a close between requests, for bytes that the client has already sent, in microseconds.
+constexpr Time kMinLinger = 50'000;
+
 // Handles one request at a time: reads it, answers it, and only then looks at the next one. Owns its
 // connection. Times are microseconds of the steady clock. A session that has ended, by close() or
 // hand_over(), no longer refers to Clients, and stays in its list until Clients::remove_ended(). Methods do
@@ -77,7 +81,7 @@
   // not read an answer.
   void give_up_memory();
   // Returns whether no received bytes are unread.
-  bool is_input_empty() const;
+  bool has_no_input() const { return is_input_empty(stream_.socket()); }
   // Shuts down the sending side and discards what still arrives until the client closes too or a limit is
   // reached. A close with unread bytes would send a reset, which may overtake the last answer, and bytes may
   // arrive at any moment. No request is handled after that: its client submits it again elsewhere.
@@ -89,12 +93,6 @@
   enum class State { kReading, kServing, kWriting, kLingering, kClosed };
 
   void on_readable(const boost::system::error_code& error);
-  // Returns how long ago the newest byte arrived. A message's time runs from that moment, also while this
-  // process was busy or the connection waited to be accepted.
-  Time time_in_socket();
-  // Returns whether the client has closed or reset the connection, or ended its sending, also behind bytes
-  // that have not been read: it has given up its requests, and has submitted them elsewhere under new ids.
-  bool has_client_left();
   bool reserve_memory(size_t bytes);
   void refuse_dropped();
   void handle(RespCommand command);
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -19,8 +19,6 @@
 constexpr Time kSecond = 1'000'000;
 // Until the load balancer notices a drain, new connections still arrive.
 constexpr Time kDrainDelay = kSecond / 2;
-// After a close between requests, for bytes that the client has already sent.
-constexpr Time kMinLinger = kSecond / 20;
 // How long a place is reserved for the predecessor process after it last needed one.
 constexpr Time kPlaceReservationTime = kSecond / 20;
 // How long a connection may hold memory that others need: a client sends a whole command at once.
@@ -166,7 +164,7 @@
   std::sort(idle.rbegin(), idle.rend());
   for (const auto& [idle_time, session] : idle) {
     if (closing >= wanted) break;
-    if (!session->is_input_empty()) continue;
+    if (!session->has_no_input()) continue;
     session->linger(session->has_sent_command() ? CloseReason::kIdle : CloseReason::kSilent);
     ++closing;
   }
@@ -192,7 +190,7 @@
 void Clients::close_lingering(Time now, size_t max_sessions) {
   for (const auto& session : sessions_) {
     if (open_sessions_ < max_sessions) return;
-    if (session->is_lingering() && session->closable_for(now, false) >= 0 && session->is_input_empty())
+    if (session->is_lingering() && session->closable_for(now, false) >= 0 && session->has_no_input())
       session->close(CloseReason::kIdle);
   }
 }
