tests: the parent of a stopped call counts its time from the stop

CrossingTest.ProcessStoppedBeforeFirstByteStartsNoLateCall failed once in a run of all tests under sanitizers, beside another build on eight cores: the call was written (93 bytes) and ended as timeout in place of connect_failed.

Cause, in the test: the child computed the call's time limit from a fixed moment, and the call's own time began later, when it was started. Where over 1 ms lay between, the parent continued the child before the time was over, and writing the call was right.

Now the limit is given as a span, and the parent waits for it from the moment at which it sees the child stopped, which is behind the start.

--- a/tests/relay/crossing_test.cpp
+++ b/tests/relay/crossing_test.cpp
@@ -245,22 +245,25 @@
 // No byte of a call is sent after the window for repeats or after the call's own timeout. Here the process is
 // stopped right after its last check and continues when the time is over.
 TEST_F(CrossingTest, ProcessStoppedBeforeFirstByteStartsNoLateCall) {
+  constexpr Time kTimeLimit = 200'000;  // microseconds
   for (const bool window : {true, false}) {
-    const Time over = steady_now() + 200'000;
+    const Time window_end = steady_now() + kTimeLimit;
     io_.notify_fork(boost::asio::execution_context::fork_prepare);
     const pid_t child = ::fork();
     if (child == 0) {
       ::alarm(testing::kDeadlineMs / 1000);
       io_.notify_fork(boost::asio::execution_context::fork_child);
       before_start_ = [] { ::raise(SIGSTOP); };
-      if (window) start_by_ = over;
-      begin("body", window ? 60'000'000 : over - steady_now());
+      if (window) start_by_ = window_end;
+      begin("body", window ? 60'000'000 : kTimeLimit);
       ::_exit(static_cast<int>(end().outcome));
     }
     io_.notify_fork(boost::asio::execution_context::fork_parent);
     int status = 0;
     ASSERT_EQ(::waitpid(child, &status, WUNTRACED), child);
     ASSERT_TRUE(WIFSTOPPED(status));
+    // A call's own time has begun by now, at a moment that the parent does not know.
+    const Time over = window ? window_end : steady_now() + kTimeLimit;
     std::this_thread::sleep_until(at_time(over + 1'000));
     ::kill(child, SIGCONT);
     ASSERT_EQ(::waitpid(child, &status, 0), child);
