--- a/relay/client_socket.h
+++ b/relay/client_socket.h
@@ -1,4 +1,4 @@
-// What the system knows of a client's connection: bytes that wait, their age, and whether the client has
+// Asks the system about a client's connection: bytes that wait, their age, and whether the client has
 // left.
 #pragma once
 
